--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup test lint format demo generate clean
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev]'
+	touch $(STAMP)
+
+test: setup
+	$(BIN)/pytest -n 6 --dist loadfile
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+demo: setup
+	$(BIN)/python tools/demo.py
+
+# Needs the Debian package thrift-compiler. The result is committed, so that a
+# build needs no generator.
+generate:
+	thrift --gen py:slots -out src idl/quetzalgauge.thrift
+	rm -f src/__init__.py src/quetzalgauge/gen/*-remote
+
+clean:
+	rm -rf $(VENV) build .pytest_cache .mypy_cache .ruff_cache
--- /dev/null
+++ b/src/quetzalgauge/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for rarely used language models."""
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,1 @@
+"""Runs the whole path on loopback. Placeholder until the programs exist."""
