--- /dev/null
+++ b/src/quetzalgauge/jsonc.py
@@ -0,0 +1,244 @@
+"""JSON with comments, with the line of each value.
+
+Comments are `// ...` up to the end of the line and `/* ... */`. Everything
+else is as in RFC 8259.
+"""
+
+import dataclasses
+import functools
+import json
+import math
+from typing import Any
+from typing import NoReturn
+
+from quetzalgauge import exceptions
+from quetzalgauge import findings
+
+# Settings and tickets are a few levels deep. The limit keeps the recursive
+# walks over a document well inside Python's recursion limit.
+MAX_DEPTH = 64
+# The largest ticket of the target size (41,000 adapters) is below 6 MB.
+MAX_TEXT_CHARACTERS = 16 * 1024 * 1024
+
+_GRAMMAR = r"""
+start: value
+?value: object | array | string | number | true | false | null
+object: "{" [pair ("," pair)*] "}"
+pair: STRING ":" value
+array: "[" [value ("," value)*] "]"
+string: STRING
+number: NUMBER
+true: "true"
+false: "false"
+null: "null"
+STRING: /"[^"\\\x00-\x1f]*(?:\\.[^"\\\x00-\x1f]*)*"/
+NUMBER: /-?(?:0|[1-9][0-9]*)(?:\.[0-9]+)?(?:[eE][+-]?[0-9]+)?/
+LINE_COMMENT: /\/\/[^\n]*/
+BLOCK_COMMENT: /\/\*[\s\S]*?\*\//
+SPACE: /[ \t\r\n]+/
+%ignore LINE_COMMENT
+%ignore BLOCK_COMMENT
+%ignore SPACE
+"""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Document:
+    """A parsed text.
+
+    Attributes:
+        source: Name of the text, used in findings.
+        value: The value, as `json.loads` would return it.
+        lines: The line of each value by its path; for a member of an object,
+            the line of its key.
+        duplicates: Findings of duplicate keys. `value` has the last value.
+    """
+
+    source: str
+    value: Any
+    lines: dict[findings.Path, int]
+    duplicates: tuple[findings.Finding, ...]
+
+    def line(self, path: findings.Path) -> int:
+        """Returns the line of a path, or of its nearest parent that exists."""
+        while path and path not in self.lines:
+            path = path[:-1]
+        return self.lines.get(path, 0)
+
+
+def parse(text: str, source: str) -> Document:
+    """Parses a text.
+
+    Raises:
+        exceptions.FindingsError: The text is no JSON with comments, is nested
+            deeper than MAX_DEPTH or is too long. The place is in the message.
+    """
+    if len(text) > MAX_TEXT_CHARACTERS:
+        _fail(source, 1, 1, f"longer than {MAX_TEXT_CHARACTERS} characters")
+    node = _parse_nodes(text, source)
+    lines: dict[findings.Path, int] = {}
+    found: list[findings.Finding] = []
+    value = _build(node, (), lines, found, source)
+    return Document(source, value, lines, tuple(found))
+
+
+@dataclasses.dataclass(slots=True)
+class _Node:
+    value: Any
+    line: int
+    depth: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Pair:
+    key: str
+    line: int
+    node: _Node
+
+
+@dataclasses.dataclass(slots=True)
+class _Object:
+    pairs: list[_Pair]
+
+
+@dataclasses.dataclass(slots=True)
+class _Array:
+    nodes: list[_Node]
+
+
+class _PlaceError(Exception):
+    def __init__(self, token: Any, message: str) -> None:
+        super().__init__(message)
+        self.line = token.line
+        self.column = token.column
+        self.message = message
+
+
+def _parse_nodes(text: str, source: str) -> _Node:
+    import lark
+
+    try:
+        return _make_parser().parse(text)
+    except _PlaceError as error:
+        _fail(source, error.line, error.column, error.message)
+    except lark.exceptions.UnexpectedCharacters as error:
+        place = error.pos_in_stream or 0
+        character = text[place : place + 1]
+        message = f"unexpected character {character!r}"
+        _fail(source, error.line, error.column, message)
+    except lark.exceptions.UnexpectedToken as error:
+        if error.token.type == "$END":
+            line = text.count("\n") + 1
+            column = len(text) - text.rfind("\n")
+            _fail(source, line, column, "unexpected end of text")
+        message = f"unexpected {str(error.token)[:40]!r}"
+        _fail(source, error.line, error.column, message)
+
+
+def _fail(source: str, line: int, column: int, message: str) -> NoReturn:
+    finding = findings.Finding(source, line, (), message, column)
+    raise exceptions.FindingsError([str(finding)])
+
+
+@functools.cache
+def _make_parser() -> Any:
+    # Lark takes 11 MB, so only a process that parses a text pays for it.
+    import lark
+
+    class Builder(lark.Transformer):
+        """Runs inside the parser, so no tree is built or walked."""
+
+        def start(self, children: list[Any]) -> _Node:
+            return children[0]
+
+        def object(self, children: list[Any]) -> _Node:
+            pairs = [child for child in children if isinstance(child, _Pair)]
+            nodes = [pair.node for pair in pairs]
+            return _nest(children, _Object(pairs), nodes)
+
+        def array(self, children: list[Any]) -> _Node:
+            nodes = [child for child in children if isinstance(child, _Node)]
+            return _nest(children, _Array(nodes), nodes)
+
+        def pair(self, children: list[Any]) -> _Pair:
+            token, node = children[0], children[-1]
+            return _Pair(_decode_string(token), token.line, node)
+
+        def string(self, children: list[Any]) -> _Node:
+            return _Node(_decode_string(children[0]), children[0].line)
+
+        def number(self, children: list[Any]) -> _Node:
+            return _Node(_decode_number(children[0]), children[0].line)
+
+        def true(self, children: list[Any]) -> _Node:
+            return _Node(True, children[0].line)
+
+        def false(self, children: list[Any]) -> _Node:
+            return _Node(False, children[0].line)
+
+        def null(self, children: list[Any]) -> _Node:
+            return _Node(None, children[0].line)
+
+    return lark.Lark(
+        _GRAMMAR,
+        parser="lalr",
+        lexer="basic",
+        keep_all_tokens=True,
+        maybe_placeholders=False,
+        transformer=Builder(),
+    )
+
+
+def _nest(children: list[Any], value: Any, nodes: list[_Node]) -> _Node:
+    depth = 1 + max((node.depth for node in nodes), default=0)
+    if depth > MAX_DEPTH:
+        raise _PlaceError(children[0], f"nested deeper than {MAX_DEPTH}")
+    return _Node(value, children[0].line, depth)
+
+
+def _decode_string(token: Any) -> str:
+    try:
+        text = json.loads(token)
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise _PlaceError(token, "half of a surrogate pair") from error
+    except ValueError as error:
+        raise _PlaceError(token, "invalid escape in a string") from error
+    return text
+
+
+def _decode_number(token: Any) -> int | float:
+    try:
+        value = json.loads(token)
+    except ValueError as error:
+        raise _PlaceError(token, "number with too many digits") from error
+    if isinstance(value, float) and not math.isfinite(value):
+        raise _PlaceError(token, "number out of range")
+    return value
+
+
+def _build(
+    node: _Node,
+    path: findings.Path,
+    lines: dict[findings.Path, int],
+    found: list[findings.Finding],
+    source: str,
+) -> Any:
+    lines.setdefault(path, node.line)
+    if isinstance(node.value, _Array):
+        return [
+            _build(child, (*path, index), lines, found, source)
+            for index, child in enumerate(node.value.nodes)
+        ]
+    if not isinstance(node.value, _Object):
+        return node.value
+    result: dict[str, Any] = {}
+    for pair in node.value.pairs:
+        place = (*path, pair.key)
+        if pair.key in result:
+            first = lines[place]
+            message = f"duplicate key, first on line {first}"
+            found.append(findings.Finding(source, pair.line, place, message))
+        lines[place] = pair.line
+        result[pair.key] = _build(pair.node, place, lines, found, source)
+    return result
