--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint format demo generate clean
+.PHONY: setup test lint format demo fault-matrix generate clean
 
 setup: $(STAMP)
 
@@ -19,6 +19,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
+	$(BIN)/python tools/fault_matrix.py --check
 
 format: setup
 	$(BIN)/ruff format .
@@ -27,6 +28,9 @@
 demo: setup
 	$(BIN)/python tools/demo.py
 
+fault-matrix: setup
+	$(BIN)/python tools/fault_matrix.py
+
 # Needs the Debian package thrift-compiler. The result is committed, so that a
 # build needs no generator.
 generate:
