--- a/src/quetzalgauge/traces.py
+++ b/src/quetzalgauge/traces.py
@@ -143,7 +143,7 @@
     mean_rate = workload.sessions_per_day / (_HOURS_PER_DAY * 3600)
     scale = sum(workload.profile) / len(workload.profile)
     peak = max(workload.profile) / scale
-    starts = []
+    starts: list[datetime.timedelta] = []
     now = datetime.timedelta()
     while True:
         gap = generator.expovariate(mean_rate * peak)
