--- a/src/quetzalgauge/jsonc.py
+++ b/src/quetzalgauge/jsonc.py
@@ -224,7 +224,8 @@
     found: list[findings.Finding],
     source: str,
 ) -> Any:
-    lines.setdefault(path, node.line)
+    if not path or isinstance(path[-1], int):
+        lines[path] = node.line
     if isinstance(node.value, _Array):
         return [
             _build(child, (*path, index), lines, found, source)
--- a/src/quetzalgauge/ledger.py
+++ b/src/quetzalgauge/ledger.py
@@ -4,24 +4,18 @@
 or the configuration. Each rule that safety depends on is one small predicate.
 """
 
-import base64
-import binascii
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Set
 import dataclasses
 import enum
-import hashlib
 import itertools
-import json
-import struct
 from typing import Any
 from typing import TypeAlias
-import zlib
 
-from quetzalgauge import exceptions
 from quetzalgauge import ids
 from quetzalgauge import records
+from quetzalgauge import snapshots
 
 # The fold keeps the latest claims only; older ones are forgotten.
 KEY_CLAIM_LIMIT = 50_000
@@ -33,8 +27,6 @@
 VACANT_TARGET_LIMIT = 10_000
 
 _FORMAT = 1
-_COMPRESSION_LEVEL = 6
-_STATE_LIMIT_BYTES = 64 * 1024 * 1024
 
 
 class Verdict(enum.Enum):
@@ -145,6 +137,7 @@
 
     def __init__(self) -> None:
         self._offset = ids.NO_OFFSET
+        self._latest_snapshot = ids.NO_OFFSET
         self._writers: dict[ids.InstanceId, Writer] = {}
         self._gone_writers: dict[ids.InstanceId, int] = {}
         self._targets: dict[ids.TargetId, Target] = {}
@@ -157,6 +150,11 @@
         """The offset of the last folded record."""
         return self._offset
 
+    @property
+    def latest_snapshot(self) -> ids.Offset:
+        """The highest offset that a snapshot in the stream covers."""
+        return self._latest_snapshot
+
     @property
     def writers(self) -> Mapping[ids.InstanceId, Writer]:
         """The registered writers."""
@@ -262,6 +260,9 @@
     ledger._offset = offset
     writer = ledger._writers.get(envelope.writer.instance)
     known = _is_registered(writer, envelope.writer)
+    if isinstance(envelope.body, records.Snapshot):
+        # A snapshot decides nothing, so it counts whoever wrote it.
+        _note_snapshot(ledger, offset, envelope.body)
     if isinstance(envelope.body, records.Register) and not known:
         return _outcome(_register_writer(ledger, envelope, envelope.body))
     if writer is None or not known:
@@ -367,7 +368,7 @@
 ) -> str:
     if not _is_newer_incarnation(ledger, envelope.writer):
         return "a newer incarnation is known, or this one has ended"
-    former = ledger._writers.pop(envelope.writer.instance, None)
+    former = ledger._writers.get(envelope.writer.instance)
     if former is not None:
         _end_leases(ledger, former)
     ledger._gone_writers.pop(envelope.writer.instance, None)
@@ -588,6 +589,13 @@
     return ""
 
 
+def _note_snapshot(
+    ledger: Ledger, offset: ids.Offset, body: records.Snapshot
+) -> None:
+    if ledger._latest_snapshot < body.covers_offset < offset:
+        ledger._latest_snapshot = body.covers_offset
+
+
 def _refuse_ticket(
     ledger: Ledger, offset: ids.Offset, writer: Writer, body: records.Ticket
 ) -> str:
@@ -646,12 +654,12 @@
 
 def snapshot(ledger: Ledger) -> bytes:
     """Encodes the state. Equal states give equal bytes."""
-    return zlib.compress(_encode(ledger), _COMPRESSION_LEVEL)
+    return snapshots.pack(_encode(ledger))
 
 
 def digest(ledger: Ledger) -> str:
     """Returns a short text that is equal for equal states only."""
-    return hashlib.blake2b(_encode(ledger), digest_size=16).hexdigest()
+    return snapshots.digest(_encode(ledger))
 
 
 def restore(data: bytes) -> Ledger:
@@ -660,35 +668,14 @@
     Raises:
         exceptions.DecodeError: The bytes are no snapshot of this format.
     """
-    try:
-        return _decode(json.loads(_decompress(data)))
-    except (
-        ArithmeticError,
-        AttributeError,
-        LookupError,
-        TypeError,
-        ValueError,
-        binascii.Error,
-        struct.error,
-        zlib.error,
-    ) as error:
-        raise exceptions.DecodeError(
-            f"not a valid ledger snapshot: {error}"
-        ) from error
-
-
-def _decompress(data: bytes) -> bytes:
-    decompressor = zlib.decompressobj()
-    whole = decompressor.decompress(data, _STATE_LIMIT_BYTES)
-    if not decompressor.eof:
-        raise ValueError("the state is cut off or too large")
-    return whole
-
-
-def _encode(ledger: Ledger) -> bytes:
-    state = {
+    return snapshots.unpack(data, _decode)
+
+
+def _encode(ledger: Ledger) -> dict[str, Any]:
+    return {
         "format": _FORMAT,
         "offset": ledger._offset,
+        "latest_snapshot": ledger._latest_snapshot,
         "writers": [
             [
                 writer.id.instance,
@@ -706,14 +693,8 @@
             for name, target in sorted(ledger._targets.items())
         ],
         "vacant": list(ledger._vacant),
-        "claims": [
-            _encode_claim(claim, list(keys))
-            for claim, keys in itertools.groupby(
-                ledger._claims, key=ledger._claims.__getitem__
-            )
-        ],
+        "claims": _encode_claims(ledger._claims),
     }
-    return json.dumps(state, separators=(",", ":")).encode()
 
 
 def _encode_target(name: ids.TargetId, target: Target) -> list[Any]:
@@ -739,14 +720,24 @@
     ]
 
 
-def _encode_claim(claim: Claim, keys: list[ids.KeyHash]) -> list[Any]:
-    packed = struct.pack(f"<{len(keys)}q", *keys)
+def _encode_claims(claims: dict[ids.KeyHash, Claim]) -> list[Any]:
+    # Columns, since a row per claim would take several times the memory while
+    # 50,000 claims are encoded or decoded.
+    groups = [
+        (claim, sum(1 for _ in keys))
+        for claim, keys in itertools.groupby(claims.values())
+    ]
+    sources = sorted({(claim.writer, claim.entry) for claim, _ in groups})
+    index = {source: place for place, source in enumerate(sources)}
     return [
-        claim.offset,
-        claim.writer.instance,
-        claim.writer.incarnation,
-        claim.entry,
-        base64.b64encode(packed).decode(),
+        [
+            [writer.instance, writer.incarnation, entry]
+            for writer, entry in sources
+        ],
+        snapshots.to_steps(claim.offset for claim, _ in groups),
+        [index[claim.writer, claim.entry] for claim, _ in groups],
+        [count for _, count in groups],
+        snapshots.pack_numbers(claims),
     ]
 
 
@@ -755,6 +746,7 @@
         raise ValueError(f"unknown format {state['format']}")
     ledger = Ledger()
     ledger._offset = ids.Offset(state["offset"])
+    ledger._latest_snapshot = ids.Offset(state["latest_snapshot"])
     for row in state["writers"]:
         writer = ids.WriterId(row[0], row[1])
         ledger._writers[writer.instance] = Writer(writer, *row[2:])
@@ -762,18 +754,34 @@
     for row in state["targets"]:
         _decode_target(ledger, row)
     ledger._vacant = dict.fromkeys(state["vacant"])
-    known: dict[tuple[str, int], ids.WriterId] = {}
-    for offset, instance, incarnation, entry, packed in state["claims"]:
-        # The same writer and entry appear in many claims.
-        writer = known.setdefault(
-            (instance, incarnation), ids.WriterId(instance, incarnation)
-        )
-        claim = Claim(offset, writer, entry)
-        keys = struct.iter_unpack("<q", base64.b64decode(packed))
-        ledger._claims.update((ids.KeyHash(key), claim) for (key,) in keys)
+    ledger._claims = _decode_claims(*state["claims"])
     return ledger
 
 
+def _decode_claims(
+    source_rows: list[Any],
+    steps: list[int],
+    places: list[int],
+    counts: list[int],
+    packed: str,
+) -> dict[ids.KeyHash, Claim]:
+    # Claims share their writer and entry.
+    sources = [
+        (ids.WriterId(instance, incarnation), entry)
+        for instance, incarnation, entry in source_rows
+    ]
+    keys = snapshots.unpack_numbers(packed)
+    claims: dict[ids.KeyHash, Claim] = {}
+    rows = zip(snapshots.from_steps(steps), places, counts, strict=True)
+    for offset, place, count in rows:
+        claim = Claim(ids.Offset(offset), *sources[place])
+        for key in itertools.islice(keys, count):
+            claims[ids.KeyHash(key)] = claim
+    if next(keys, None) is not None or len(claims) != sum(counts):
+        raise ValueError("keys and claims do not match")
+    return claims
+
+
 def _decode_target(ledger: Ledger, row: list[Any]) -> None:
     name, incarnation, gone, zone, memory, checks, holder = row[:7]
     number, latest, open_numbers, reservations = row[7:]
