--- /dev/null
+++ b/src/quetzalgauge/membership.py
@@ -0,0 +1,151 @@
+"""The merged view of targets and system instances."""
+
+import collections
+import datetime
+
+from quetzalgauge import ids
+from quetzalgauge import messages
+
+SUSPECT_TIME = datetime.timedelta(seconds=2)
+# The list lags behind and may be read from different replicas, so an instance
+# counts as gone only after it was absent for this long.
+GONE_AFTER = datetime.timedelta(seconds=5)
+# A process that never saw an instance in the list itself waits longer, since
+# the instance may be newer than the list.
+UNSEEN_GONE_AFTER = datetime.timedelta(seconds=60)
+_ENDED_LIMIT = 2000
+
+Incarnation = tuple[ids.TargetId, ids.TargetIncarnation]
+
+
+class Membership:
+    """Targets and system instances, from the list, peers and own contact."""
+
+    def __init__(self, region: ids.Region) -> None:
+        self._region = region
+        self._targets: dict[ids.TargetId, messages.ListedInstance] = {}
+        self._systems: dict[ids.InstanceId, messages.ListedInstance] = {}
+        self._leaving: set[Incarnation] = set()
+        self._suspects: dict[ids.TargetId, datetime.timedelta] = {}
+        self._absent_since: dict[str, datetime.timedelta] = {}
+        self._seen: set[str] = set()
+        # Ended incarnations, so that late news about them is not kept again.
+        self._ended: collections.OrderedDict[Incarnation, None] = (
+            collections.OrderedDict()
+        )
+        self._raw: tuple[messages.ListedInstance, ...] | None = None
+        self._last_listed: datetime.timedelta | None = None
+
+    @property
+    def targets(self) -> dict[ids.TargetId, messages.ListedInstance]:
+        """The listed targets of the region."""
+        return self._targets
+
+    @property
+    def systems(self) -> dict[ids.InstanceId, messages.ListedInstance]:
+        """The listed system instances of the region."""
+        return self._systems
+
+    @property
+    def leaving(self) -> set[Incarnation]:
+        """All target incarnations that are known to be leaving."""
+        return self._leaving
+
+    def list_instances(
+        self,
+        instances: tuple[messages.ListedInstance, ...],
+        now: datetime.timedelta,
+    ) -> bool:
+        """Takes a reading of the instance list; True if anything changed."""
+        self._last_listed = now
+        if instances == self._raw:
+            return False
+        self._raw = instances
+        before = set(self._targets) | set(self._systems)
+        ours = [item for item in instances if item.region == self._region]
+        self._targets = {
+            ids.TargetId(item.instance): item
+            for item in ours
+            if item.kind is messages.InstanceKind.TARGET
+        }
+        self._systems = {
+            ids.InstanceId(item.instance): item
+            for item in ours
+            if item.kind is messages.InstanceKind.SYSTEM
+        }
+        present = set(self._targets) | set(self._systems)
+        self._seen |= present
+        for name in before - present:
+            self._absent_since[name] = now
+        for name in present:
+            self._absent_since.pop(name, None)
+        for target, item in self._targets.items():
+            if item.state is messages.InstanceState.LEAVING:
+                self.mark_leaving(
+                    target, ids.TargetIncarnation(item.incarnation)
+                )
+        return True
+
+    def absent_long(self, name: str, now: datetime.timedelta) -> bool:
+        """Whether the list showed an instance and has dropped it for good.
+
+        False while no list was read since, so an unreachable list never makes
+        an instance gone.
+        """
+        if self._last_listed is None:
+            return False
+        if name in self._targets or name in self._systems:
+            return False
+        since = self._absent_since.setdefault(name, now)
+        wait = GONE_AFTER if name in self._seen else UNSEEN_GONE_AFTER
+        return self._last_listed - since >= wait
+
+    def mark_leaving(
+        self, target: ids.TargetId, incarnation: ids.TargetIncarnation
+    ) -> bool:
+        """Notes that an incarnation is leaving; True if that is news."""
+        key = (target, incarnation)
+        if key in self._leaving or key in self._ended:
+            return False
+        self._leaving.add(key)
+        return True
+
+    def is_leaving(self, target: ids.TargetId) -> bool:
+        """Whether the listed incarnation of a target is leaving."""
+        item = self._targets.get(target)
+        if item is None:
+            return False
+        key = (target, ids.TargetIncarnation(item.incarnation))
+        return key in self._leaving
+
+    def is_leaving_incarnation(
+        self, target: ids.TargetId, incarnation: ids.TargetIncarnation
+    ) -> bool:
+        """Whether this incarnation of a target is leaving."""
+        return (target, incarnation) in self._leaving
+
+    def end_incarnation(
+        self, target: ids.TargetId, incarnation: ids.TargetIncarnation
+    ) -> None:
+        """Forgets an incarnation that has ended."""
+        key = (target, incarnation)
+        self._leaving.discard(key)
+        self._ended[key] = None
+        while len(self._ended) > _ENDED_LIMIT:
+            self._ended.popitem(last=False)
+
+    def suspect(self, target: ids.TargetId, now: datetime.timedelta) -> None:
+        """Notes a failure to connect to a target."""
+        self._suspects[target] = now + SUSPECT_TIME
+
+    def is_suspect(
+        self, target: ids.TargetId, now: datetime.timedelta
+    ) -> bool:
+        """Whether a connection to the target failed in the last seconds."""
+        until = self._suspects.get(target)
+        if until is None:
+            return False
+        if now >= until:
+            del self._suspects[target]
+            return False
+        return True
