--- a/src/quetzalgauge/clock.py
+++ b/src/quetzalgauge/clock.py
@@ -19,6 +19,14 @@
     return now
 
 
+def make_incarnation() -> int:
+    """Returns the wall clock in milliseconds.
+
+    It grows with each start of a process on an instance that keeps nothing.
+    """
+    return time.time_ns() // 1_000_000
+
+
 class ManualClock:
     """A clock for tests that moves only when told to."""
 
--- a/src/quetzalgauge/logs.py
+++ b/src/quetzalgauge/logs.py
@@ -42,9 +42,27 @@
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
 
 
+def write(part: str, level: int, text: str, fields: dict[str, Any]) -> None:
+    """Writes a line with named values.
+
+    The text form appends them, the JSON form has them under `fields`.
+    """
+    make_logger(part).log(level, "%s", text, extra={"fields": fields})
+
+
+class _TextFormatter(logging.Formatter):
+    def formatMessage(self, record: logging.LogRecord) -> str:  # noqa: N802
+        text = super().formatMessage(record)
+        fields = getattr(record, "fields", None)
+        if not fields:
+            return text
+        pairs = [f"{key}={value}" for key, value in fields.items()]
+        return f"{text} ({', '.join(pairs)})"
+
+
 def _make_formatter(form: str) -> logging.Formatter:
     if form == "text":
-        return logging.Formatter(_TEXT_FORMAT)
+        return _TextFormatter(_TEXT_FORMAT)
     from pythonjsonlogger import json as jsonlogger
 
     return jsonlogger.JsonFormatter(
--- /dev/null
+++ b/src/quetzalgauge/streams.py
@@ -0,0 +1,133 @@
+"""Tasks that read streams of the platform's log and append to them."""
+
+from collections.abc import Callable
+import datetime
+import queue
+import random as random_module
+import threading
+
+from quetzalgauge import exceptions
+from quetzalgauge import ids
+from quetzalgauge import logclient
+from quetzalgauge import logs
+from quetzalgauge import messages
+from quetzalgauge import tasks
+
+READ_LIMIT = 500
+# The core's READ_GAP is twice this wait and a margin.
+READ_WAIT = datetime.timedelta(seconds=3)
+# After a failed call the task pauses for a random time up to this, so that the
+# instances don't return all at once after an outage.
+_FAILURE_PAUSE = datetime.timedelta(seconds=1)
+_log = logs.make_logger("log")
+
+
+class Reader:
+    """Reads one stream and hands the records over in order.
+
+    Args:
+        url: Root of the log service.
+        stream: Name of the stream.
+        deliver: Called with StreamRead, StreamExpired or StreamFailed; returns
+            when the event has been handled, so that a slow fold slows the
+            reader down.
+        on_failure: See `tasks.start_thread`.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        stream: ids.StreamName,
+        deliver: Callable[[messages.Event], None],
+        on_failure: Callable[[str], None],
+    ) -> None:
+        self._url = url
+        self._stream = stream
+        self._deliver = deliver
+        self._positions: queue.SimpleQueue[ids.Offset] = queue.SimpleQueue()
+        self._stopping = threading.Event()
+        self._failing = False
+        self._thread = tasks.start_thread(
+            f"read-{stream}", self._run, on_failure
+        )
+
+    def read_from(self, offset: ids.Offset) -> None:
+        """Continues at an offset."""
+        self._positions.put(offset)
+
+    def stop(self) -> None:
+        """Ends the task after its present read; does not wait for it."""
+        self._stopping.set()
+        self._positions.put(ids.NO_OFFSET)
+
+    def _run(self) -> None:
+        client = logclient.LogClient(self._url)
+        position = self._positions.get()
+        while not self._stopping.is_set():
+            while not self._positions.empty():
+                position = self._positions.get()
+            if self._stopping.is_set():
+                break
+            next_position = self._read_once(client, position)
+            if next_position is None:
+                next_position = self._positions.get()
+            position = next_position
+        client.close()
+
+    def _read_once(
+        self, client: logclient.LogClient, position: ids.Offset
+    ) -> ids.Offset | None:
+        """Returns the next position, None if the core must give one."""
+        try:
+            result = client.read(self._stream, position, READ_LIMIT, READ_WAIT)
+        except exceptions.LogExpiredError as error:
+            earliest = ids.Offset(error.earliest)
+            self._deliver(messages.StreamExpired(self._stream, earliest))
+            return None
+        except exceptions.LogUnavailableError as error:
+            self._report(str(error))
+            self._deliver(messages.StreamFailed(self._stream))
+            pause = random_module.uniform(0.1, _FAILURE_PAUSE.total_seconds())
+            self._stopping.wait(pause)
+            return position
+        self._report("")
+        self._deliver(
+            messages.StreamRead(
+                self._stream, result.records, result.next_offset
+            )
+        )
+        return ids.Offset(position + len(result.records))
+
+    def _report(self, failure: str) -> None:
+        """Logs the change between working and failing, not each failure."""
+        if bool(failure) == self._failing:
+            return
+        self._failing = bool(failure)
+        if failure:
+            _log.warning("cannot read %s: %s", self._stream, failure)
+        else:
+            _log.info("reading %s again", self._stream)
+
+
+def make_appender(
+    url: str,
+    stream: ids.StreamName,
+    deliver: Callable[[messages.Event], None],
+    on_failure: Callable[[str], None],
+) -> tasks.Task:
+    """Returns a task that takes AppendRecords and delivers AppendDone."""
+    client = logclient.LogClient(url)
+
+    def append(action: messages.AppendRecords) -> None:
+        result = client.append(stream, action.data)
+        acknowledged = result.outcome is logclient.AppendOutcome.ACKNOWLEDGED
+        if not acknowledged:
+            _log.info(
+                "append to %s %s: %s",
+                stream,
+                result.outcome.value,
+                result.reason,
+            )
+        deliver(messages.AppendDone(stream, acknowledged))
+
+    return tasks.Task(f"append-{stream}", append, client.close, on_failure)
--- /dev/null
+++ b/src/quetzalgauge/tasks.py
@@ -0,0 +1,145 @@
+"""Threads that own their sockets and state and talk by queues."""
+
+from collections.abc import Callable
+from collections.abc import Hashable
+import datetime
+import queue
+import threading
+from typing import Any
+
+from quetzalgauge import logs
+
+# How long a task waits for the thread of a stopped task.
+JOIN_TIMEOUT = datetime.timedelta(seconds=10)
+_log = logs.make_logger("tasks")
+
+
+def start_thread(
+    name: str, run: Callable[[], None], on_failure: Callable[[str], None]
+) -> threading.Thread:
+    """Starts a thread.
+
+    Args:
+        name: Name of the thread.
+        run: Returns when the task has ended.
+        on_failure: Called with the name if `run` raises. A process must not go
+            on without one of its tasks.
+    """
+
+    def guarded() -> None:
+        try:
+            run()
+        except Exception:
+            _log.exception("task %s failed", name)
+            on_failure(name)
+
+    thread = threading.Thread(target=guarded, name=name, daemon=True)
+    thread.start()
+    return thread
+
+
+class _End:
+    """The last message of a task."""
+
+
+class Task:
+    """One thread that handles its messages in order.
+
+    Args:
+        name: Name of the thread.
+        handle: Called with each message.
+        close: Called in the task's thread at the end.
+        on_failure: See `start_thread`.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        handle: Callable[[Any], None],
+        close: Callable[[], None],
+        on_failure: Callable[[str], None],
+    ) -> None:
+        self._queue: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        self._handle = handle
+        self._close = close
+        self._thread = start_thread(name, self._run, on_failure)
+
+    def send(self, message: Any) -> None:
+        """Queues a message."""
+        self._queue.put(message)
+
+    def stop(self) -> None:
+        """Ends the task after the messages that are queued already."""
+        self._queue.put(_End)
+
+    def join(self) -> None:
+        """Waits for the end, up to JOIN_TIMEOUT."""
+        self._thread.join(JOIN_TIMEOUT.total_seconds())
+
+    def _run(self) -> None:
+        while (message := self._queue.get()) is not _End:
+            self._handle(message)
+        self._close()
+
+
+class KeyedTasks:
+    """One task per key: started by the first message, ended when unused.
+
+    Only the thread that sends may call the methods.
+
+    Args:
+        name: Prefix of the names of the threads.
+        make: Returns `handle` and `close` of the task of a key.
+        limit: Tasks at once.
+        unused: Time without a message after which a task ends.
+        on_failure: See `start_thread`.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        make: Callable[[Any], tuple[Callable[[Any], None], Callable[[], None]]],
+        limit: int,
+        unused: datetime.timedelta,
+        on_failure: Callable[[str], None],
+    ) -> None:
+        self._name = name
+        self._make = make
+        self._limit = limit
+        self._unused = unused
+        self._on_failure = on_failure
+        self._tasks: dict[Hashable, Task] = {}
+        self._used: dict[Hashable, datetime.timedelta] = {}
+
+    def send(
+        self, key: Hashable, message: Any, now: datetime.timedelta
+    ) -> bool:
+        """Queues a message; False if there are too many tasks."""
+        task = self._tasks.get(key)
+        if task is None:
+            self.end_unused(now)
+            if len(self._tasks) >= self._limit:
+                return False
+            handle, close = self._make(key)
+            name = f"{self._name}-{key}"
+            task = Task(name, handle, close, self._on_failure)
+            self._tasks[key] = task
+        self._used[key] = now
+        task.send(message)
+        return True
+
+    def end_unused(self, now: datetime.timedelta) -> None:
+        """Ends the tasks that have had no message for a while."""
+        for key, used in list(self._used.items()):
+            if now - used > self._unused:
+                self._tasks.pop(key).stop()
+                del self._used[key]
+
+    def stop(self) -> None:
+        """Ends all tasks after their queued messages and waits for them."""
+        for task in self._tasks.values():
+            task.stop()
+        for task in self._tasks.values():
+            task.join()
+        self._tasks.clear()
+        self._used.clear()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -50,6 +50,7 @@
         "s.json:5: control_listen.host: must be a loopback address",
         "s.json:6: peer_listen.port: also used by control_listen",
         "s.json:6: peer_listen.host: beyond loopback needs peer_tls",
+        "s.json:6: peer_listen.host: must be the address that peers connect to",
         "s.json:7: operator_listen.host: must be an IP number, not a name",
         "s.json:7: operator_listen.port:"
         " Input should be less than or equal to 65535",
