--- a/src/quetzalgauge/membership.py
+++ b/src/quetzalgauge/membership.py
@@ -35,6 +35,11 @@
         )
         self._raw: tuple[messages.ListedInstance, ...] | None = None
         self._last_listed: datetime.timedelta | None = None
+        self._engines: dict[ids.AvailabilityZone, list[ids.TargetId]] = {}
+        self._plain: dict[ids.AvailabilityZone, list[ids.TargetId]] = {}
+        self._shown: collections.OrderedDict[Incarnation, None] = (
+            collections.OrderedDict()
+        )
 
     @property
     def targets(self) -> dict[ids.TargetId, messages.ListedInstance]:
@@ -51,6 +56,20 @@
         """All target incarnations that are known to be leaving."""
         return self._leaving
 
+    def engines(self, zone: ids.AvailabilityZone) -> list[ids.TargetId]:
+        """Returns the listed model engines of a zone, by name."""
+        return self._engines.get(zone, [])
+
+    def plain_targets(self, zone: ids.AvailabilityZone) -> list[ids.TargetId]:
+        """Returns the listed plain services of a zone, by name."""
+        return self._plain.get(zone, [])
+
+    def was_shown(
+        self, target: ids.TargetId, incarnation: ids.TargetIncarnation
+    ) -> bool:
+        """Whether the list has shown this incarnation to this process."""
+        return (target, incarnation) in self._shown
+
     def list_instances(
         self,
         instances: tuple[messages.ListedInstance, ...],
@@ -79,13 +98,26 @@
             self._absent_since[name] = now
         for name in present:
             self._absent_since.pop(name, None)
-        for target, item in self._targets.items():
-            if item.state is messages.InstanceState.LEAVING:
-                self.mark_leaving(
-                    target, ids.TargetIncarnation(item.incarnation)
-                )
+        self._engines = {}
+        self._plain = {}
+        for target in sorted(self._targets):
+            self._index(target, self._targets[target])
+        while len(self._shown) > len(self._targets) + _ENDED_LIMIT:
+            self._shown.popitem(last=False)
         return True
 
+    def _index(
+        self, target: ids.TargetId, item: messages.ListedInstance
+    ) -> None:
+        is_engine = item.service_kind is messages.ServiceKind.MODELS
+        index = self._engines if is_engine else self._plain
+        index.setdefault(item.availability_zone, []).append(target)
+        incarnation = ids.TargetIncarnation(item.incarnation)
+        self._shown[(target, incarnation)] = None
+        self._shown.move_to_end((target, incarnation))
+        if item.state is messages.InstanceState.LEAVING:
+            self.mark_leaving(target, incarnation)
+
     def absent_long(self, name: str, now: datetime.timedelta) -> bool:
         """Whether the list showed an instance and has dropped it for good.
 
--- a/src/quetzalgauge/messages.py
+++ b/src/quetzalgauge/messages.py
@@ -124,7 +124,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
-    """An order to a target. The same order id twice has one effect."""
+    """An order to a target. The same order id twice has one effect.
+
+    `target_incarnation` is the incarnation that the order is meant for. The
+    sender compares it, and the target, with `/status` on the same connection,
+    so that a late order never reaches a restarted target.
+    """
 
     order_id: ids.OrderId
     target: ids.TargetId
@@ -137,6 +142,7 @@
     adapter: ids.AdapterName = ids.AdapterName("")
     adapter_bytes: int = 0
     role: str = ""
+    target_incarnation: ids.TargetIncarnation = ids.TargetIncarnation("")
 
 
 # ---- Events ----------------------------------------------------------------
--- a/src/quetzalgauge/orders.py
+++ b/src/quetzalgauge/orders.py
@@ -68,7 +68,9 @@
         flight = self._waiting.pop(order.order_id, None)
         if flight is None:
             return False
-        if outcome is messages.OrderOutcome.UNKNOWN:
+        # A late fence order changes nothing, so it need not be waited for.
+        is_fence = order.action is messages.OrderAction.FENCE
+        if outcome is messages.OrderOutcome.UNKNOWN and not is_fence:
             flight.until = now + self._linger
             self._lingering.append(flight)
         self._touch(order)
--- /dev/null
+++ b/src/quetzalgauge/placement.py
@@ -0,0 +1,924 @@
+"""Which slots to reserve, load, unload and move."""
+
+from collections.abc import Iterator
+import dataclasses
+import datetime
+import logging
+import math
+
+from quetzalgauge import context
+from quetzalgauge import demand as demand_module
+from quetzalgauge import ids
+from quetzalgauge import leases as leases_module
+from quetzalgauge import ledger as ledger_module
+from quetzalgauge import messages
+from quetzalgauge import plan as plan_module
+from quetzalgauge import records
+from quetzalgauge import views as views_module
+from quetzalgauge.gen import ttypes
+
+# Peers get the news at once and their entries within one long poll; twice
+# that, with a margin for a lost message that the exchange repeats.
+UNLOAD_NOTICE = datetime.timedelta(seconds=2)
+# Load reports lag by about a second, so a shorter pause is no proof of idleness.
+MIN_IDLE = datetime.timedelta(seconds=5)
+# A load or an unload that was refused or got lost is tried again after this.
+RETRY = datetime.timedelta(seconds=1)
+DEMAND_REPEAT = datetime.timedelta(milliseconds=500)
+RESERVE_INTERVAL = datetime.timedelta(seconds=1)
+# Reservations are reviewed without any change only this often.
+RESERVE_REFRESH = datetime.timedelta(seconds=10)
+# Bounds the work and the size of the batch of one review.
+_MAX_RESERVES = 20
+# Bytes per second of each tier, for the reload cost. Only their ratio to the
+# idle time matters, which the setting cold_start_weight scales.
+_TIER_RATES = {
+    messages.CacheTier.MEMORY: 10e9,
+    messages.CacheTier.DISK: 2e9,
+    messages.CacheTier.REMOTE: 0.5e9,
+}
+
+_PART = "placement"
+_LONG_AGO = datetime.timedelta(days=-1)
+
+_Place = tuple[ids.TargetId, ids.SlotId]
+
+
+@dataclasses.dataclass(slots=True)
+class _Unload:
+    """An announced unload. A forced one is not cancelled by demand."""
+
+    since: datetime.timedelta
+    is_forced: bool
+
+
+class Placement:
+    """Decides on the slots of the targets that this process holds."""
+
+    def __init__(
+        self,
+        ctx: context.Context,
+        leases: leases_module.Leases,
+        views: views_module.Views,
+        demands: demand_module.Demands,
+    ) -> None:
+        self._ctx = ctx
+        self._leases = leases
+        self._views = views
+        self._demands = demands
+        self._marks: dict[ids.TargetId, int] = {}
+        self._unloads: dict[_Place, _Unload] = {}
+        self._used: dict[_Place, datetime.timedelta] = {}
+        self._retry: dict[_Place, datetime.timedelta] = {}
+        self._started: dict[_Place, datetime.timedelta] = {}
+        self._evicted: dict[_Place, datetime.timedelta] = {}
+        self._remote_starts: list[datetime.timedelta] = []
+        self._sent: dict[
+            tuple[ids.InstanceId, demand_module.Servable], datetime.timedelta
+        ] = {}
+        self._reserved_at = _LONG_AGO
+        self._reserved_mark: tuple[int, ...] = ()
+        self._changes = 0
+
+    # ---- What happened -----------------------------------------------------
+
+    def note_change(self) -> None:
+        """Notes that reservations, leases, targets or models changed."""
+        self._changes += 1
+
+    def poll(
+        self,
+        target: ids.TargetId,
+        status: messages.TargetStatus,
+        mark: int,
+        now: datetime.timedelta,
+    ) -> None:
+        """Notes a status.
+
+        Args:
+            target: The target.
+            status: Its report.
+            mark: The mark of the orders when the report was asked for.
+            now: The time.
+        """
+        self._marks[target] = mark
+        loaded = set()
+        for model in status.models:
+            place = (target, model.slot)
+            loaded.add(model.slot)
+            self._started.pop(place, None)
+            is_used = model.running or model.waiting
+            is_ready = model.state is messages.ReplicaState.READY
+            if is_used or not is_ready or place not in self._used:
+                self._used[place] = now
+        for place in [p for p in self._unloads if p[0] == target]:
+            if place[1] not in loaded:
+                del self._unloads[place]
+        for place in [p for p in self._used if p[0] == target]:
+            if place[1] not in loaded:
+                del self._used[place]
+
+    def answer_order(
+        self,
+        order: messages.Order,
+        outcome: messages.OrderOutcome,
+        now: datetime.timedelta,
+    ) -> None:
+        """Notes the answer to a load or an unload."""
+        if order.slot is None:
+            return
+        place = (order.target, order.slot)
+        done = (messages.OrderOutcome.ACCEPTED, messages.OrderOutcome.DONE)
+        if outcome in done:
+            return
+        self._started.pop(place, None)
+        self._retry[place] = now + RETRY
+
+    def unloading(self, target: ids.TargetId) -> set[ids.SlotId]:
+        """Returns the slots of a target that are announced as unloading."""
+        return {slot for name, slot in self._unloads if name == target}
+
+    def is_changing(self, target: ids.TargetId) -> bool:
+        """Whether a target loads or unloads, so that it is polled often."""
+        status = self._leases.status(target)
+        if status is not None and any(
+            model.state is not messages.ReplicaState.READY
+            for model in status.models
+        ):
+            return True
+        return any(place[0] == target for place in self._started) or any(
+            place[0] == target for place in self._unloads
+        )
+
+    # ---- Reviews -----------------------------------------------------------
+
+    def review_target(
+        self, target: ids.TargetId, now: datetime.timedelta
+    ) -> None:
+        """Unloads and releases what should no longer be on a held target."""
+        ctx = self._ctx
+        status = self._leases.status(target)
+        if status is None or not self._leases.can_order(target):
+            return
+        reservations = ctx.ledger.reservations(target)
+        loaded = {model.slot: model for model in status.models}
+        for slot, model in loaded.items():
+            reservation = reservations.get(slot)
+            if reservation is None or reservation.version != model.version:
+                self._unload(target, model, True, now)
+            elif self._must_leave(target, reservation, now):
+                self._unload(target, model, True, now)
+            elif self._is_idle(target, model, status, now):
+                self._unload(target, model, False, now)
+            else:
+                self._unloads.pop((target, slot), None)
+        for slot, reservation in list(reservations.items()):
+            if slot not in loaded and self._must_leave(
+                target, reservation, now
+            ):
+                self._release(target, slot, now)
+
+    def review_loads(self, now: datetime.timedelta) -> None:
+        """Loads what requests wait for, and what is kept loaded."""
+        if self._ctx.is_draining:
+            return
+        forwards: dict[ids.InstanceId, list[demand_module.Servable]] = {}
+        for servable in self._demands.waiting():
+            self._serve(servable, forwards, now)
+        for holder, servables in sorted(forwards.items()):
+            self._forward(holder, servables, now)
+        for target in self._leases.held():
+            self._keep_loaded(target, now)
+
+    def review_reservations(self, now: datetime.timedelta) -> None:
+        """Reserves free memory in advance for the slots of the zone."""
+        ctx = self._ctx
+        if ctx.is_draining or not ctx.reading.is_current(now):
+            return
+        if now - self._reserved_at < RESERVE_INTERVAL:
+            return
+        mark = (self._changes, ctx.membership.changes, ctx.catalog.changes)
+        is_due = now - self._reserved_at >= RESERVE_REFRESH
+        if mark == self._reserved_mark and not is_due:
+            return
+        self._reserved_at = now
+        self._reserved_mark = mark
+        free = {
+            target: ctx.ledger.unreserved_bytes(target)
+            for target in self._usable(ctx.zone, now)
+        }
+        count = 0
+        for slot, spec, is_kept in self._wanted_slots(now):
+            target = self._best_free(slot, spec, free)
+            if target is None:
+                if is_kept:
+                    self._place(slot, spec, now)
+                continue
+            free[target] -= spec.memory_bytes
+            if ctx.holds(target):
+                self._reserve(target, slot, spec)
+            count += 1
+            if count >= _MAX_RESERVES:
+                # More may fit: look again at the next review.
+                self._reserved_mark = ()
+                return
+
+    # ---- Loading -----------------------------------------------------------
+
+    def _serve(
+        self,
+        servable: demand_module.Servable,
+        forwards: dict[ids.InstanceId, list[demand_module.Servable]],
+        now: datetime.timedelta,
+    ) -> None:
+        """Starts what demand for a model needs here, or finds who can."""
+        ctx = self._ctx
+        zone = self._zone_for(servable.model)
+        spec = plan_module.spec(ctx.catalog, servable.model, servable.version)
+        if zone is None or spec is None:
+            return
+        most = plan_module.max_replicas(ctx.catalog, servable.model, zone)
+        requests = self._demands.requests(servable)
+        needed = max(1, math.ceil(requests / views_module.MAX_RUNNING))
+        if self._count_loaded(servable, zone) >= min(needed, most):
+            return
+        slots = [
+            ids.SlotId(servable.model, zone, index) for index in range(most)
+        ]
+        place = self._reserved_place(slots, servable, now)
+        if place is None:
+            place_target = self._unreserved_place(slots, spec, now)
+            if place_target is None:
+                return
+            target, slot = place_target
+        else:
+            target, slot = place
+        if not ctx.holds(target):
+            holder = ctx.ledger.targets[target].holder
+            if holder is not None:
+                forwards.setdefault(holder.instance, []).append(servable)
+        elif place is not None:
+            self._load(target, slot, now)
+        elif slot not in ctx.ledger.slots:
+            self._place(slot, spec, now)
+
+    def _zone_for(self, model: ids.ModelName) -> ids.AvailabilityZone | None:
+        """Returns the zone that serves a model for this one's entries."""
+        ctx = self._ctx
+        zones = plan_module.zones(ctx.catalog, model)
+        if ctx.zone in zones:
+            return ctx.zone
+        if not zones:
+            return None
+        return max(zones, key=lambda zone: context.weight(model, zone))
+
+    def _count_loaded(
+        self, servable: demand_module.Servable, zone: ids.AvailabilityZone
+    ) -> int:
+        """Counts replicas that are ready or will be, and may get requests."""
+        membership = self._ctx.membership
+        slots = {
+            replica.slot.index
+            for replica in self._views.replicas(servable.model, zone)
+            if replica.version == servable.version
+            and replica.state != ttypes.ReplicaState.UNLOADING
+            and not membership.is_leaving(replica.target)
+            and not membership.is_absent(replica.target)
+        }
+        slots |= {
+            slot.index
+            for target, slot in self._started
+            if slot.model == servable.model
+            and slot.availability_zone == zone
+            and self._reserved_version(target, slot) == servable.version
+        }
+        return len(slots)
+
+    def _reserved_version(
+        self, target: ids.TargetId, slot: ids.SlotId
+    ) -> ids.VersionName | None:
+        reservation = self._ctx.ledger.reservations(target).get(slot)
+        return None if reservation is None else reservation.version
+
+    def _reserved_place(
+        self,
+        slots: list[ids.SlotId],
+        servable: demand_module.Servable,
+        now: datetime.timedelta,
+    ) -> _Place | None:
+        """Returns the first reserved slot that can be loaded.
+
+        All processes agree on it, since the reservations come from the log.
+        """
+        ctx = self._ctx
+        for slot in slots:
+            target = ctx.ledger.target_of_slot(slot)
+            if target is None:
+                continue
+            if self._reserved_version(target, slot) != servable.version:
+                continue
+            if self._views.is_loaded(slot, target):
+                continue
+            if (target, slot) in self._started:
+                continue
+            if self._is_usable(target, now):
+                return target, slot
+        return None
+
+    def _unreserved_place(
+        self,
+        slots: list[ids.SlotId],
+        spec: plan_module.Spec,
+        now: datetime.timedelta,
+    ) -> _Place | None:
+        """Returns the best target for a slot that has no reservation."""
+        ctx = self._ctx
+        for slot in slots:
+            if slot in ctx.ledger.slots:
+                continue
+            target = self._best_target(slot, spec, now)
+            return None if target is None else (target, slot)
+        # Every slot has another version: ask for one to be given up.
+        for slot in slots:
+            target = ctx.ledger.target_of_slot(slot)
+            if target is None or not self._is_usable(target, now):
+                continue
+            if self._reserved_version(target, slot) != spec.version:
+                return target, slot
+        return None
+
+    def _is_usable(
+        self, target: ids.TargetId, now: datetime.timedelta
+    ) -> bool:
+        """Whether the target can take a load from its holder now."""
+        ctx = self._ctx
+        item = ctx.membership.targets.get(target)
+        state = ctx.ledger.targets.get(target)
+        if item is None or state is None:
+            return False
+        if state.incarnation != item.incarnation:
+            return False
+        if ctx.membership.is_leaving(target):
+            return False
+        if ctx.membership.is_suspect(target, now):
+            return False
+        return self._leases.live_holder(target, now) is not None
+
+    def _usable(
+        self, zone: ids.AvailabilityZone, now: datetime.timedelta
+    ) -> list[ids.TargetId]:
+        return [
+            target
+            for target in self._ctx.membership.engines(zone)
+            if self._is_usable(target, now)
+        ]
+
+    def _keep_loaded(
+        self, target: ids.TargetId, now: datetime.timedelta
+    ) -> None:
+        """Loads the reserved slots below the minimum of replicas."""
+        ctx = self._ctx
+        for slot in list(ctx.ledger.reservations(target)):
+            least = plan_module.min_replicas(
+                ctx.catalog, slot.model, slot.availability_zone
+            )
+            if slot.index < least:
+                self._load(target, slot, now)
+
+    def _load(
+        self,
+        target: ids.TargetId,
+        slot: ids.SlotId,
+        now: datetime.timedelta,
+    ) -> None:
+        """Orders a load if everything allows it."""
+        ctx = self._ctx
+        status = self._leases.status(target)
+        if status is None or not self._may_load(target, slot, status, now):
+            return
+        reservation = ctx.ledger.reservations(target)[slot]
+        spec = plan_module.spec(ctx.catalog, slot.model, reservation.version)
+        if spec is None:
+            return
+        key = (slot.model, reservation.version)
+        is_remote = key not in status.cached
+        if is_remote and not self._takes_share(now):
+            return
+        order = messages.Order(
+            order_id=ctx.orders.next_id(),
+            target=target,
+            fencing_number=ctx.ledger.targets[target].fencing_number,
+            action=messages.OrderAction.LOAD,
+            slot=slot,
+            version=reservation.version,
+            checkpoint=spec.checkpoint,
+            memory_bytes=reservation.memory_bytes,
+            target_incarnation=status.incarnation,
+        )
+        place = (target, slot)
+        self._started[place] = now
+        if is_remote:
+            self._remote_starts.append(now)
+        address = ctx.membership.targets[target].address
+        ctx.write_log(
+            _PART, logging.INFO, "load", target=target, slot=str(slot)
+        )
+        ctx.act(ctx.orders.send(address, order))
+
+    def _may_load(
+        self,
+        target: ids.TargetId,
+        slot: ids.SlotId,
+        status: messages.TargetStatus,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Whether a load of a reserved slot may be ordered now."""
+        ctx = self._ctx
+        place = (target, slot)
+        if not is_reserved(ctx.ledger, target, slot):
+            return False
+        if not self._leases.can_order(target):
+            return False
+        if not self._is_usable(target, now) or status.draining:
+            return False
+        if any(model.slot == slot for model in status.models):
+            return False
+        if place in self._started or ctx.orders.awaits_answer(target, slot):
+            return False
+        if now < self._retry.get(place, _LONG_AGO):
+            return False
+        if not self._leases.answered_lately(target, now):
+            return False
+        if not self._is_status_after_orders(target, slot):
+            return False
+        number = ctx.ledger.targets[target].fencing_number
+        if ctx.is_proposed(records.Release(target, number, slot)):
+            return False
+        most = plan_module.max_replicas(
+            ctx.catalog, slot.model, slot.availability_zone
+        )
+        return slot.index < most
+
+    def _is_status_after_orders(
+        self, target: ids.TargetId, slot: ids.SlotId
+    ) -> bool:
+        """Whether the status shows the effect of every answered order."""
+        mark = self._marks.get(target, -1)
+        return not self._ctx.orders.changed_since(target, slot, mark)
+
+    def _takes_share(self, now: datetime.timedelta) -> bool:
+        """Whether the zone's share of the weight store allows a load."""
+        ctx = self._ctx
+        share = zone_share(ctx.ledger, ctx.settings.loads_at_once, ctx.zone)
+        second = now - datetime.timedelta(seconds=1)
+        self._remote_starts = [
+            start for start in self._remote_starts if start > second
+        ]
+        if len(self._remote_starts) >= share:
+            return False
+        loading = sum(
+            replica.state == ttypes.ReplicaState.LOADING
+            and not self._views.is_cached(
+                target, replica.slot.model, replica.version
+            )
+            for target in ctx.membership.engines(ctx.zone)
+            for replica in self._replicas_on(target)
+        )
+        return loading + len(self._started) < share
+
+    def _replicas_on(self, target: ids.TargetId) -> list:
+        state = self._views.state(target)
+        return [] if state is None else state.replicas
+
+    def _forward(
+        self,
+        holder: ids.InstanceId,
+        servables: list[demand_module.Servable],
+        now: datetime.timedelta,
+    ) -> None:
+        """Hands demand of own entries to the holder that can serve it."""
+        address = self._ctx.peer_address(holder)
+        demands = []
+        for servable in servables:
+            key = (holder, servable)
+            if now - self._sent.get(key, _LONG_AGO) < DEMAND_REPEAT:
+                continue
+            found = list(self._demands.own(servable))
+            if found:
+                self._sent[key] = now
+                demands += found
+        if demands and address is not None:
+            self._ctx.act(messages.SendDemand(address, demands))
+        if len(self._sent) > 1000:
+            self._sent = {
+                key: sent
+                for key, sent in self._sent.items()
+                if now - sent < DEMAND_REPEAT
+            }
+
+    # ---- Reserving ---------------------------------------------------------
+
+    def _wanted_slots(
+        self, now: datetime.timedelta
+    ) -> Iterator[tuple[ids.SlotId, plan_module.Spec, bool]]:
+        """Yields the zone's slots without reservation, likely ones first."""
+        ctx = self._ctx
+        rows = []
+        for model, spec, least, most in plan_module.of_zone(
+            ctx.catalog, ctx.zone
+        ):
+            servable = demand_module.Servable(model, spec.version)
+            wanted = self._demands.last_wanted(servable) or _LONG_AGO
+            for index in range(most):
+                slot = ids.SlotId(model, ctx.zone, index)
+                if slot not in ctx.ledger.slots:
+                    key = (index >= least, index, -wanted, -spec.priority)
+                    rows.append((key, slot, spec, index < least))
+        rows.sort(key=lambda row: (row[0], row[1]))
+        for _, slot, spec, is_kept in rows:
+            yield slot, spec, is_kept
+
+    def _best_free(
+        self,
+        slot: ids.SlotId,
+        spec: plan_module.Spec,
+        free: dict[ids.TargetId, int],
+    ) -> ids.TargetId | None:
+        """Returns the target for an advance reservation, None if full."""
+        fitting = [
+            target
+            for target, space in free.items()
+            if space >= spec.memory_bytes
+            and not self._has_model(target, slot.model)
+        ]
+        if not fitting:
+            return None
+        return min(
+            fitting,
+            key=lambda target: (
+                not self._views.is_cached(target, slot.model, spec.version),
+                -free[target],
+                context.weight(str(slot), target),
+            ),
+        )
+
+    def _best_target(
+        self,
+        slot: ids.SlotId,
+        spec: plan_module.Spec,
+        now: datetime.timedelta,
+    ) -> ids.TargetId | None:
+        """Returns the best target of a zone, cached checkpoint first.
+
+        A target whose other reservations have to move counts after free ones,
+        and one that has to unload an idle model first counts last.
+        """
+        best = None
+        for target in self._usable(slot.availability_zone, now):
+            cost = self._cost(target, slot, spec)
+            if cost is None:
+                continue
+            key = (
+                cost == 2,
+                not self._views.is_cached(target, slot.model, spec.version),
+                cost,
+                -self._ctx.ledger.unreserved_bytes(target),
+                context.weight(str(slot), target),
+            )
+            if best is None or key < best[0]:
+                best = (key, target)
+        return None if best is None else best[1]
+
+    def _cost(
+        self, target: ids.TargetId, slot: ids.SlotId, spec: plan_module.Spec
+    ) -> int | None:
+        """Returns 0 for free memory, 1 for a release, 2 for an unload."""
+        ledger = self._ctx.ledger
+        if self._has_model(target, slot.model):
+            return None
+        free = ledger.unreserved_bytes(target)
+        if free >= spec.memory_bytes:
+            return 0
+        if ledger.targets[target].accelerator_memory_bytes < spec.memory_bytes:
+            return None
+        if not ledger.older_numbers_closed(target):
+            return None
+        spare = sum(
+            reservation.memory_bytes
+            for reservation in ledger.reservations(target).values()
+            if self._is_spare(target, reservation)
+        )
+        return 1 if free + spare >= spec.memory_bytes else 2
+
+    def _has_model(self, target: ids.TargetId, model: ids.ModelName) -> bool:
+        # A second replica of a model on one target would be no second replica.
+        return any(
+            slot.model == model
+            for slot in self._ctx.ledger.reservations(target)
+        )
+
+    def _is_spare(
+        self, target: ids.TargetId, reservation: ledger_module.Reservation
+    ) -> bool:
+        """Whether an unloaded reservation may make room for another."""
+        slot = reservation.slot
+        servable = demand_module.Servable(slot.model, reservation.version)
+        least = plan_module.min_replicas(
+            self._ctx.catalog, slot.model, slot.availability_zone
+        )
+        return (
+            slot.index >= least
+            and not self._demands.is_waiting(servable)
+            and not self._views.is_loaded(slot, target)
+            and (target, slot) not in self._started
+        )
+
+    def _place(
+        self,
+        slot: ids.SlotId,
+        spec: plan_module.Spec,
+        now: datetime.timedelta,
+    ) -> None:
+        """Reserves a wanted slot on a held target, making room if needed."""
+        ctx = self._ctx
+        if not ctx.reading.is_current(now):
+            return
+        target = self._best_target(slot, spec, now)
+        if target is None or not ctx.holds(target):
+            return
+        if not self._leases.can_order(target):
+            return
+        free = ctx.ledger.unreserved_bytes(target) - self._proposed_bytes(
+            target
+        )
+        if free < spec.memory_bytes:
+            free += self._make_room(target, spec.memory_bytes - free, now)
+        if free >= spec.memory_bytes:
+            self._reserve(target, slot, spec)
+
+    def _proposed_bytes(self, target: ids.TargetId) -> int:
+        return sum(
+            body.memory_bytes
+            for body in self._ctx.proposed
+            if isinstance(body, records.Reserve) and body.target == target
+        )
+
+    def _make_room(
+        self, target: ids.TargetId, wanted: int, now: datetime.timedelta
+    ) -> int:
+        """Releases spare reservations, or unloads idle models for later."""
+        ledger = self._ctx.ledger
+        spare = [
+            reservation
+            for reservation in ledger.reservations(target).values()
+            if self._is_spare(target, reservation)
+        ]
+        spare.sort(key=self._last_wanted)
+        freed = 0
+        for reservation in spare:
+            if freed >= wanted:
+                break
+            if self._release(target, reservation.slot, now):
+                freed += reservation.memory_bytes
+        if freed < wanted:
+            self._evict(target, wanted - freed, now)
+        return freed
+
+    def _evict(
+        self, target: ids.TargetId, wanted: int, now: datetime.timedelta
+    ) -> None:
+        """Chooses idle models to unload so that another can be placed."""
+        status = self._leases.status(target)
+        if status is None:
+            return
+        reservations = self._ctx.ledger.reservations(target)
+        idle = [
+            reservations[model.slot]
+            for model in status.models
+            if model.slot in reservations and self._may_evict(target, model, now)
+        ]
+        if sum(item.memory_bytes for item in idle) < wanted:
+            return
+        idle.sort(key=self._last_wanted)
+        for reservation in idle:
+            if wanted <= 0:
+                return
+            self._evicted[(target, reservation.slot)] = now + RESERVE_REFRESH
+            wanted -= reservation.memory_bytes
+
+    def _may_evict(
+        self,
+        target: ids.TargetId,
+        model: messages.ModelStatus,
+        now: datetime.timedelta,
+    ) -> bool:
+        slot = model.slot
+        least = plan_module.min_replicas(
+            self._ctx.catalog, slot.model, slot.availability_zone
+        )
+        servable = demand_module.Servable(slot.model, model.version)
+        if slot.index < least or self._demands.is_waiting(servable):
+            return False
+        if model.state is messages.ReplicaState.LOADING:
+            return False
+        return now - self._last_used(target, model, now) >= MIN_IDLE
+
+    def _last_wanted(
+        self, reservation: ledger_module.Reservation
+    ) -> tuple[datetime.timedelta, ids.SlotId]:
+        servable = demand_module.Servable(
+            reservation.slot.model, reservation.version
+        )
+        wanted = self._demands.last_wanted(servable) or _LONG_AGO
+        return wanted, reservation.slot
+
+    def _reserve(
+        self, target: ids.TargetId, slot: ids.SlotId, spec: plan_module.Spec
+    ) -> None:
+        number = self._ctx.ledger.targets[target].fencing_number
+        self._ctx.propose(
+            records.Reserve(
+                target, number, slot, spec.version, spec.memory_bytes
+            )
+        )
+
+    # ---- Unloading and releasing -------------------------------------------
+
+    def _must_leave(
+        self,
+        target: ids.TargetId,
+        reservation: ledger_module.Reservation,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Whether a slot should not stay on its target."""
+        ctx = self._ctx
+        slot = reservation.slot
+        status = self._leases.status(target)
+        if ctx.membership.is_leaving(target):
+            return True
+        if status is not None and status.draining:
+            return True
+        if self._evicted.get((target, slot), _LONG_AGO) > now:
+            return True
+        if not ctx.catalog.is_known:
+            return False
+        most = plan_module.max_replicas(
+            ctx.catalog, slot.model, slot.availability_zone
+        )
+        if slot.index >= most:
+            return True
+        spec = plan_module.spec(ctx.catalog, slot.model, reservation.version)
+        if spec is None or spec.memory_bytes != reservation.memory_bytes:
+            return True
+        return self._is_superseded(reservation, now)
+
+    def _is_superseded(
+        self, reservation: ledger_module.Reservation, now: datetime.timedelta
+    ) -> bool:
+        """Whether a slot should move to another version of its model."""
+        slot = reservation.slot
+        default = plan_module.default_spec(self._ctx.catalog, slot.model)
+        if default is None:
+            return True
+        servable = demand_module.Servable(slot.model, reservation.version)
+        wanted = self._demands.last_wanted(servable) or _LONG_AGO
+        if now - wanted < MIN_IDLE:
+            return False
+        if reservation.version != default.version:
+            return True
+        return any(
+            other.model == slot.model and other.version != reservation.version
+            for other in self._demands.waiting()
+        )
+
+    def _is_idle(
+        self,
+        target: ids.TargetId,
+        model: messages.ModelStatus,
+        status: messages.TargetStatus,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Whether keeping a model loaded costs more than loading it again."""
+        ctx = self._ctx
+        slot = model.slot
+        least = plan_module.min_replicas(
+            ctx.catalog, slot.model, slot.availability_zone
+        )
+        if slot.index < least:
+            return False
+        if model.state is not messages.ReplicaState.READY:
+            return model.state is messages.ReplicaState.UNLOADING
+        if model.running or model.waiting:
+            return False
+        idle = now - self._last_used(target, model, now)
+        tier = status.cached.get(
+            (slot.model, model.version), messages.CacheTier.REMOTE
+        )
+        cost = model.memory_bytes / _TIER_RATES[tier]
+        limit = datetime.timedelta(
+            seconds=cost * ctx.settings.cold_start_weight
+        )
+        return idle > max(MIN_IDLE, limit)
+
+    def _last_used(
+        self,
+        target: ids.TargetId,
+        model: messages.ModelStatus,
+        now: datetime.timedelta,
+    ) -> datetime.timedelta:
+        servable = demand_module.Servable(model.model, model.version)
+        wanted = self._demands.last_wanted(servable) or _LONG_AGO
+        return max(wanted, self._used.get((target, model.slot), now))
+
+    def _unload(
+        self,
+        target: ids.TargetId,
+        model: messages.ModelStatus,
+        is_forced: bool,
+        now: datetime.timedelta,
+    ) -> None:
+        """Announces an unload, and orders it once everyone could know."""
+        ctx = self._ctx
+        place = (target, model.slot)
+        unload = self._unloads.get(place)
+        if unload is None:
+            self._unloads[place] = _Unload(now, is_forced)
+            return
+        unload.is_forced |= is_forced
+        if model.state is messages.ReplicaState.UNLOADING:
+            return
+        if now - unload.since < UNLOAD_NOTICE:
+            return
+        if ctx.orders.awaits_answer(target, model.slot):
+            return
+        if now < self._retry.get(place, _LONG_AGO):
+            return
+        if not self._is_status_after_orders(target, model.slot):
+            return
+        if not self._leases.may_unload(target, now):
+            return
+        item = ctx.membership.targets.get(target)
+        status = self._leases.status(target)
+        if item is None or status is None:
+            return
+        order = messages.Order(
+            order_id=ctx.orders.next_id(),
+            target=target,
+            fencing_number=ctx.ledger.targets[target].fencing_number,
+            action=messages.OrderAction.UNLOAD,
+            slot=model.slot,
+            version=model.version,
+            memory_bytes=model.memory_bytes,
+            target_incarnation=status.incarnation,
+        )
+        ctx.write_log(
+            _PART, logging.INFO, "unload", target=target, slot=str(model.slot)
+        )
+        ctx.act(ctx.orders.send(item.address, order))
+
+    def _release(
+        self, target: ids.TargetId, slot: ids.SlotId, now: datetime.timedelta
+    ) -> bool:
+        """Proposes to free a reservation; False if that is not safe yet."""
+        ctx = self._ctx
+        status = self._leases.status(target)
+        if status is None or not ctx.reading.is_current(now):
+            return False
+        if not self._leases.can_order(target):
+            return False
+        if not self._leases.answered_lately(target, now):
+            return False
+        if not ctx.ledger.older_numbers_closed(target):
+            return False
+        if any(model.slot == slot for model in status.models):
+            return False
+        if ctx.orders.in_flight(target, slot):
+            return False
+        if not self._is_status_after_orders(target, slot):
+            return False
+        number = ctx.ledger.targets[target].fencing_number
+        ctx.propose(records.Release(target, number, slot))
+        return True
+
+
+def is_reserved(
+    ledger: ledger_module.Ledger, target: ids.TargetId, slot: ids.SlotId
+) -> bool:
+    """Whether a slot is reserved on a target. No load goes out without."""
+    return slot in ledger.reservations(target)
+
+
+def zone_share(
+    ledger: ledger_module.Ledger, total: int, zone: ids.AvailabilityZone
+) -> int:
+    """Returns a zone's share of a region's limit, at least 1.
+
+    The zones are those with a registered control process; the remainder goes
+    to the zones that are first in name order.
+    """
+    zones = sorted(
+        {writer.availability_zone for writer in ledger.writers.values()}
+        | {zone}
+    )
+    share, remainder = divmod(total, len(zones))
+    return max(1, share + (zones.index(zone) < remainder))
