Rename the log tasks module to logtasks

Cause: the entry process has a module 'streams' for server-sent events; two parts chose the same name. Ruled out: renaming the entry's module, whose name is the usual term. Change: streams.py of the control process becomes logtasks.py. Before and after: no change of behaviour.

--- a/src/quetzalgauge/control.py
+++ b/src/quetzalgauge/control.py
@@ -21,13 +21,13 @@
 from quetzalgauge import inbox as inbox_module
 from quetzalgauge import instancelist
 from quetzalgauge import logs
+from quetzalgauge import logtasks
 from quetzalgauge import messages
 from quetzalgauge import metrics as metrics_module
 from quetzalgauge import operators
 from quetzalgauge import peers
 from quetzalgauge import services
 from quetzalgauge import settings as settings_module
-from quetzalgauge import streams
 from quetzalgauge import tasks
 from quetzalgauge import wire
 from quetzalgauge.gen import Control
@@ -187,13 +187,13 @@
     def _start_tasks(self) -> None:
         settings, inbox = self._settings, self._inbox
         region = ids.Region(settings.region)
-        self._readers: dict[str, streams.Reader] = {}
+        self._readers: dict[str, logtasks.Reader] = {}
         self._appenders: dict[str, tasks.Task] = {}
         for stream in (ids.CONFIG_STREAM, ids.decision_stream(region)):
-            self._readers[stream] = streams.Reader(
+            self._readers[stream] = logtasks.Reader(
                 settings.log_url, stream, inbox.deliver, inbox.fail
             )
-            self._appenders[stream] = streams.make_appender(
+            self._appenders[stream] = logtasks.make_appender(
                 settings.log_url, stream, inbox.put, inbox.fail
             )
         self._targets = tasks.KeyedTasks(
--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -164,9 +164,11 @@
         loaded = {model.slot: model for model in status.models}
         for slot, model in loaded.items():
             reservation = reservations.get(slot)
-            if reservation is None or reservation.version != model.version:
-                self._unload(target, model, True, now)
-            elif self._must_leave(target, reservation, now):
+            if (
+                reservation is None
+                or reservation.version != model.version
+                or self._must_leave(target, reservation, now)
+            ):
                 self._unload(target, model, True, now)
             elif self._is_idle(target, model, status, now):
                 self._unload(target, model, False, now)
@@ -347,9 +349,7 @@
                 return target, slot
         return None
 
-    def _is_usable(
-        self, target: ids.TargetId, now: datetime.timedelta
-    ) -> bool:
+    def _is_usable(self, target: ids.TargetId, now: datetime.timedelta) -> bool:
         """Whether the target can take a load from its holder now."""
         ctx = self._ctx
         item = ctx.membership.targets.get(target)
@@ -695,7 +695,8 @@
         idle = [
             reservations[model.slot]
             for model in status.models
-            if model.slot in reservations and self._may_evict(target, model, now)
+            if model.slot in reservations
+            and self._may_evict(target, model, now)
         ]
         if sum(item.memory_bytes for item in idle) < wanted:
             return
