--- /dev/null
+++ b/src/quetzalgauge/gateway.py
@@ -0,0 +1,1310 @@
+"""The core of an entry process: admission, routing and retries.
+
+`step(event, now)` returns the actions that the shell carries out. Every call
+that arrived gets actions until its last one: `Refuse`, `Replay`, `Abandon`, or
+a successful attempt.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import datetime
+import enum
+from typing import Any
+from typing import TypeAlias
+
+from quetzalgauge import admission
+from quetzalgauge import drain
+from quetzalgauge import ids
+from quetzalgauge import messages
+from quetzalgauge import refusals
+from quetzalgauge import retries
+from quetzalgauge import routing
+
+SUSPECT_TIME = datetime.timedelta(seconds=2)
+# A leaving target normally disappears from the routes within seconds. The
+# mark is limited in time because a restarted target may reuse the id.
+LEAVING_TIME = datetime.timedelta(seconds=30)
+OVERLOAD_BACKOFF = datetime.timedelta(milliseconds=250)
+# Routes lag behind an unload by a poll of the status and one sync.
+NOT_LOADED_BACKOFF = datetime.timedelta(seconds=1)
+# Used when the route does not say how many requests a replica runs at once.
+DEFAULT_MAX_RUNNING = 8
+# A resident adapter may be unloaded by its holder at any time; asking again
+# after this time costs one call to control.
+RESIDENCY_TIME = datetime.timedelta(seconds=60)
+MAX_RESUMES = 3
+# Keys claimed by this process whose requests never ran.
+UNUSED_KEY_LIMIT = 1000
+
+_ZERO = datetime.timedelta()
+
+
+class Kind(enum.Enum):
+    """What a request asks for."""
+
+    COMPLETION = "completion"
+    PLAIN = "plain"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A caller's request without its body.
+
+    Attributes:
+        request_id: Identifies the request towards caller and target.
+        kind: Completion or call of a plain service.
+        name: The `model` field, or the plain service's name.
+        stream: Whether the answer is a stream of events.
+        repeatable: Whether it may run more than once.
+        priority: 0 to 9, None for the model's own.
+        deadline: Time by which the whole answer is due.
+        key: Hash of the idempotency key, None without one.
+        digest: Digest of method, path and body; equal for a repetition.
+    """
+
+    request_id: ids.RequestId
+    kind: Kind
+    name: str
+    stream: bool
+    repeatable: bool
+    priority: int | None
+    deadline: datetime.timedelta
+    key: ids.KeyHash | None = None
+    digest: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Model:
+    """A model of the catalog."""
+
+    name: ids.ModelName
+    versions: frozenset[ids.VersionName]
+    default_version: ids.VersionName
+    priority: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Waiting and running requests of a model."""
+
+    servable: routing.Servable
+    waiting: int
+    running: int
+    oldest_wait: datetime.timedelta
+    priority: int
+
+
+class KeyDecision(enum.Enum):
+    """What control decided about an idempotency key."""
+
+    RUN = "run"
+    STORED = "stored"
+    UNKNOWN = "unknown"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredOutcome:
+    """The answer that an earlier try with the same key got."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    digest: str
+
+
+# ---- Events ----------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrived:
+    """A request arrived. `token` is unique among calls in progress."""
+
+    token: int
+    request: Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """A connection was made for `Open`; nothing was sent yet."""
+
+    token: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyDecided:
+    """Answers `ClaimKey`."""
+
+    token: int
+    decision: KeyDecision
+    outcome: StoredOutcome | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdapterDecided:
+    """Answers `EnsureAdapter`."""
+
+    token: int
+    resident: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt got its whole answer (failure None) or failed.
+
+    Attributes:
+        token: The call.
+        failure: None after a whole answer.
+        answered: Whether the caller has received a byte of the answer.
+        last_event: Last event id passed on, empty if none.
+    """
+
+    token: int
+    failure: retries.Failure | None
+    answered: bool = False
+    last_event: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallEnded:
+    """The caller has its answer or refusal, or the connection is closed."""
+
+    token: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection."""
+
+    token: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutesReceived:
+    """Control sent routes or catalog. None: no change of that part.
+
+    Attributes:
+        routes_version: Version of the routes.
+        catalog_version: Version of the catalog.
+        replicas: All replicas, or None.
+        service_targets: All targets of plain services, or None.
+        catalog_complete: Whether models and adapters replace the catalog.
+        models: Changed models by name; None means removed.
+        adapters: Model of each changed adapter; None means removed.
+        log_reachable: Whether control reaches the log.
+    """
+
+    routes_version: int
+    catalog_version: int
+    replicas: tuple[routing.Replica, ...] | None
+    service_targets: tuple[routing.ServiceTarget, ...] | None
+    catalog_complete: bool
+    models: dict[ids.ModelName, Model | None]
+    adapters: dict[ids.AdapterName, ids.ModelName | None]
+    log_reachable: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportWanted:
+    """The next report to control is due."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainRequested:
+    """A planned stop has begun."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed. Sent several times a second."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DumpWanted:
+    """An operator wants the state. The reply's value is JSON data."""
+
+    reply: Callable[[dict[str, Any]], None]
+
+
+Event: TypeAlias = (
+    Arrived
+    | Opened
+    | KeyDecided
+    | AdapterDecided
+    | AttemptEnded
+    | CallEnded
+    | CallerGone
+    | RoutesReceived
+    | ReportWanted
+    | DrainRequested
+    | Tick
+    | DumpWanted
+)
+
+
+# ---- Actions ---------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Open:
+    """Connect to a target; ends with Opened or AttemptEnded."""
+
+    token: int
+    target: ids.TargetId
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimKey:
+    """Claim an idempotency key; ends with KeyDecided."""
+
+    token: int
+    key: ids.KeyHash
+    timeout: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EnsureAdapter:
+    """Make an adapter resident; ends with AdapterDecided."""
+
+    token: int
+    target: ids.TargetId
+    adapter: ids.AdapterName
+    timeout: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request once; ends with one AttemptEnded.
+
+    Attributes:
+        token: The call.
+        target: The target.
+        address: HOST:PORT of the target.
+        fresh: A connection that was never used is required.
+        servable: Model and version, None for a plain service.
+        adapter: The adapter, or None.
+        resume_after: Event id after which a stream goes on, or empty.
+    """
+
+    token: int
+    target: ids.TargetId
+    address: str
+    fresh: bool
+    servable: routing.Servable | None = None
+    adapter: ids.AdapterName | None = None
+    resume_after: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Give the caller a refusal, or end its stream with an error event."""
+
+    token: int
+    refusal: refusals.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """Give the caller the outcome of an earlier try."""
+
+    token: int
+    outcome: StoredOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Abandon:
+    """The caller has gone; close its connection."""
+
+    token: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """End the attempt in progress with this failure; it may end otherwise."""
+
+    token: int
+    failure: retries.Failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendReport:
+    """Report to control."""
+
+    routes_version: int
+    catalog_version: int
+    demands: tuple[Demand, ...]
+    in_flight: dict[ids.TargetId, int]
+    suspects: tuple[ids.TargetId, ...]
+    draining: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """The process may end. `cut`: calls are still in progress."""
+
+    cut: int
+
+
+Action: TypeAlias = (
+    Open
+    | ClaimKey
+    | EnsureAdapter
+    | Send
+    | Refuse
+    | Replay
+    | Abandon
+    | CancelAttempt
+    | SendReport
+    | Stop
+)
+
+
+# ---- State -----------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds from the settings."""
+
+    queue_limit: int
+    max_streams: int
+    max_in_progress: int
+    drain_timeout: datetime.timedelta
+
+
+class _Phase(enum.Enum):
+    WAITING = "waiting"
+    ADAPTER = "adapter"
+    OPENING = "opening"
+    CLAIMING = "claiming"
+    SENT = "sent"
+    FINISHED = "finished"  # Its last action was given out.
+
+
+@dataclasses.dataclass(slots=True)
+class _Call:
+    request: Request
+    arrived: datetime.timedelta
+    servable: routing.Servable | None = None
+    adapter: ids.AdapterName | None = None
+    waiting: admission.Waiting | None = None
+    phase: _Phase = _Phase.WAITING
+    target: routing.Candidate | None = None
+    tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    failures: list[retries.Failure] = dataclasses.field(default_factory=list)
+    key_claimed: bool = False
+    ever_sent: bool = False
+    sent_at: datetime.timedelta = _ZERO
+    resumes: int = 0
+    cancelled: bool = False
+    caller_gone: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Marks:
+    """What this process saw of targets, each with the time it ends."""
+
+    suspect: dict[ids.TargetId, datetime.timedelta] = dataclasses.field(
+        default_factory=dict
+    )
+    leaving: dict[ids.TargetId, datetime.timedelta] = dataclasses.field(
+        default_factory=dict
+    )
+    backoff: dict[tuple[ids.TargetId, routing.Servable], datetime.timedelta] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+    def expire(self, now: datetime.timedelta) -> None:
+        """Drops the marks that have ended."""
+        tables: tuple[dict[Any, datetime.timedelta], ...] = (
+            self.suspect,
+            self.leaving,
+            self.backoff,
+        )
+        for table in tables:
+            for key in [one for one, end in table.items() if end <= now]:
+                del table[key]
+
+    def excludes(self, target: ids.TargetId) -> bool:
+        """Whether a target gets nothing at the moment."""
+        return target in self.suspect or target in self.leaving
+
+
+class Gateway:
+    """State of the core. One task owns it and calls `step`."""
+
+    def __init__(
+        self,
+        limits: Limits,
+        router: routing.Router,
+        budget: retries.RetryBudget | None = None,
+    ) -> None:
+        self._limits = limits
+        self._route = router
+        self._budget = budget or retries.RetryBudget()
+        self._drain = drain.Drain(limits.drain_timeout)
+        self._calls: dict[int, _Call] = {}
+        self._queues: dict[routing.Servable, admission.WaitingQueue] = {}
+        self._service_times: dict[routing.Servable, admission.ServiceTime] = {}
+        self._in_flight: dict[ids.TargetId, int] = {}
+        self._running: dict[tuple[ids.TargetId, routing.Servable], int] = {}
+        self._marks = _Marks()
+        self._resident: dict[
+            tuple[ids.TargetId, ids.AdapterName], datetime.timedelta
+        ] = {}
+        self._open_keys: dict[ids.KeyHash, str] = {}
+        self._unused_keys: dict[ids.KeyHash, str] = {}
+        self._replicas: dict[routing.Servable, list[routing.Replica]] = {}
+        self._service_targets: dict[
+            ids.ServiceName, list[routing.ServiceTarget]
+        ] = {}
+        self._models: dict[ids.ModelName, Model] = {}
+        self._adapters: dict[ids.AdapterName, ids.ModelName] = {}
+        self._routes_at = _ZERO
+        self._routes_version = 0
+        self._catalog_version = 0
+        self._streams = 0
+        self._sequence = 0
+        self._log_reachable = False
+        self._stopped = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new requests are accepted and routes are known."""
+        return self._drain.accepts and self._routes_version > 0
+
+    @property
+    def in_progress(self) -> int:
+        """Number of calls that have not ended."""
+        return len(self._calls)
+
+    @property
+    def streams(self) -> int:
+        """Number of streams in progress."""
+        return self._streams
+
+    @property
+    def retry_tokens(self) -> float:
+        """Number of retries allowed at this moment."""
+        return self._budget.tokens
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests in queues."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def list_models(self) -> list[str]:
+        """Returns the names of all models and adapters."""
+        return sorted([*self._models, *self._adapters])
+
+    def step(self, event: Event, now: datetime.timedelta) -> list[Action]:
+        """Takes one event and returns the actions to carry out."""
+        self._marks.expire(now)
+        handler = _HANDLERS[type(event)]
+        actions: list[Action] = handler(self, event, now)
+        return actions
+
+    # ---- Arrival
+
+    def _arrived(self, event: Arrived, now: datetime.timedelta) -> list[Action]:
+        call = _Call(event.request, now)
+        refusal = self._check_arrival(call, now)
+        if refusal is None:
+            refusal = self._resolve(call)
+        self._calls[event.token] = call
+        if event.request.stream:
+            self._streams += 1
+        if refusal is not None:
+            return [self._refuse(event.token, *refusal)]
+        self._budget.record_request()
+        if event.request.key is not None:
+            conflict = self._open_key(event.request)
+            if conflict is not None:
+                return [self._refuse(event.token, *conflict)]
+        if call.servable is None:
+            return self._dispatch_plain(event.token, call, now)
+        return self._enqueue(event.token, call, now)
+
+    def _check_arrival(
+        self, call: _Call, now: datetime.timedelta
+    ) -> tuple[refusals.Code, str] | None:
+        if not self._drain.accepts:
+            return refusals.Code.DRAINING, "this instance is leaving"
+        if len(self._calls) >= self._limits.max_in_progress:
+            return refusals.Code.QUEUE_FULL, "too many requests in progress"
+        if call.request.stream and self._streams >= self._limits.max_streams:
+            return refusals.Code.TOO_MANY_STREAMS, "too many open streams"
+        if self._routes_version == 0:
+            return refusals.Code.NO_TARGET, "no routes are known yet"
+        if now >= call.request.deadline:
+            return refusals.Code.DEADLINE_EXCEEDED, "the deadline has passed"
+        return None
+
+    def _resolve(self, call: _Call) -> tuple[refusals.Code, str] | None:
+        name = call.request.name
+        if call.request.kind is Kind.PLAIN:
+            if ids.ServiceName(name) not in self._service_targets:
+                return refusals.Code.UNKNOWN_SERVICE, f"no service {name!r}"
+            return None
+        model_name, _, version = name.partition("@")
+        adapter = ids.AdapterName(name)
+        if adapter in self._adapters and name not in self._models:
+            call.adapter = adapter
+            model_name, version = self._adapters[adapter], ""
+        model = self._models.get(ids.ModelName(model_name))
+        wanted = ids.VersionName(version) or (
+            model.default_version if model else ids.VersionName("")
+        )
+        if model is None or wanted not in model.versions:
+            return refusals.Code.UNKNOWN_MODEL, f"no model {name!r}"
+        call.servable = routing.Servable(model.name, wanted)
+        return None
+
+    def _open_key(self, request: Request) -> tuple[refusals.Code, str] | None:
+        assert request.key is not None
+        known = self._open_keys.get(request.key)
+        if known is None:
+            known = self._unused_keys.get(request.key, request.digest)
+            if known == request.digest:
+                self._open_keys[request.key] = request.digest
+                return None
+        if known != request.digest:
+            return (
+                refusals.Code.KEY_CONFLICT,
+                "the idempotency key belongs to another request",
+            )
+        return (
+            refusals.Code.OUTCOME_UNKNOWN,
+            "a request with this idempotency key is in progress",
+        )
+
+    # ---- Waiting
+
+    def _enqueue(
+        self, token: int, call: _Call, now: datetime.timedelta
+    ) -> list[Action]:
+        servable = call.servable
+        assert servable is not None
+        queue = self._queues.get(servable)
+        if queue is None:
+            queue = admission.WaitingQueue()
+            self._queues[servable] = queue
+        self._put_in_queue(token, call)
+        assert call.waiting is not None
+        queue.add(call.waiting)
+        actions = self._pump(servable, now)
+        actions += self._refuse_hopeless(servable, now)
+        for last in queue.take_excess(self._limits.queue_limit):
+            actions.append(
+                self._refuse(
+                    last.token, refusals.Code.QUEUE_FULL, "the queue is full"
+                )
+            )
+        return actions
+
+    def _put_in_queue(self, token: int, call: _Call) -> None:
+        assert call.servable is not None
+        priority = call.request.priority
+        if priority is None:
+            model = self._models.get(call.servable.model)
+            priority = model.priority if model else 0
+        self._sequence += 1
+        call.phase = _Phase.WAITING
+        call.target = None
+        call.waiting = admission.Waiting(
+            token, priority, call.request.deadline, self._sequence
+        )
+
+    def _loads(
+        self, servable: routing.Servable, now: datetime.timedelta
+    ) -> list[admission.ReplicaLoad]:
+        loads = []
+        for replica in self._replicas.get(servable, ()):
+            if replica.target in self._marks.leaving:
+                continue
+            if replica.state is messages.ReplicaState.UNLOADING:
+                continue
+            ready_in = _ZERO
+            if replica.state is messages.ReplicaState.LOADING:
+                ready_in = max(
+                    _ZERO, replica.ready_in - (now - self._routes_at)
+                )
+            key = (replica.target, servable)
+            loads.append(
+                admission.ReplicaLoad(
+                    _slots(replica), self._running.get(key, 0), ready_in
+                )
+            )
+        return loads
+
+    def _refuse_hopeless(
+        self, servable: routing.Servable, now: datetime.timedelta
+    ) -> list[Action]:
+        queue = self._queues.get(servable)
+        if not queue:
+            return []
+        loads = self._loads(servable, now)
+        mean = self._service_time(servable).mean
+        actions: list[Action] = []
+        for waiting, wait in admission.find_hopeless(queue, loads, mean, now):
+            queue.remove(waiting)
+            actions.append(self._refuse_wait(waiting, wait, bool(loads), now))
+        return actions
+
+    def _refuse_wait(
+        self,
+        waiting: admission.Waiting,
+        wait: datetime.timedelta,
+        any_replica: bool,
+        now: datetime.timedelta,
+    ) -> Action:
+        if now < waiting.deadline:
+            return self._refuse(
+                waiting.token,
+                refusals.Code.WAIT_TOO_LONG,
+                f"predicted wait {wait.total_seconds():.1f} s",
+                retry_after=wait,
+            )
+        if not any_replica:
+            return self._refuse(
+                waiting.token,
+                refusals.Code.NO_CAPACITY,
+                "no replica could be loaded in time",
+            )
+        return self._refuse(
+            waiting.token,
+            refusals.Code.DEADLINE_EXCEEDED,
+            "no replica was free in time",
+        )
+
+    def _service_time(
+        self, servable: routing.Servable
+    ) -> admission.ServiceTime:
+        found = self._service_times.get(servable)
+        if found is None:
+            found = admission.ServiceTime()
+            self._service_times[servable] = found
+        return found
+
+    # ---- Dispatch
+
+    def _pump(
+        self, servable: routing.Servable, now: datetime.timedelta
+    ) -> list[Action]:
+        queue = self._queues.get(servable)
+        if not queue:
+            return []
+        actions: list[Action] = []
+        for waiting in queue:
+            call = self._calls[waiting.token]
+            candidate = self._route(
+                self._candidates(servable),
+                call.tried,
+                self._in_flight,
+                call.adapter,
+            )
+            if candidate is None:
+                break
+            queue.remove(waiting)
+            actions += self._start(waiting.token, call, candidate, now)
+        return actions
+
+    def _candidates(
+        self, servable: routing.Servable
+    ) -> list[routing.Candidate]:
+        found = []
+        for replica in self._replicas.get(servable, ()):
+            key = (replica.target, servable)
+            if replica.state is not messages.ReplicaState.READY:
+                continue
+            if self._marks.excludes(replica.target):
+                continue
+            if key in self._marks.backoff:
+                continue
+            if self._running.get(key, 0) >= _slots(replica):
+                continue
+            found.append(
+                routing.Candidate(
+                    replica.target, replica.address, replica.availability_zone
+                )
+            )
+        return found
+
+    def _dispatch_plain(
+        self, token: int, call: _Call, now: datetime.timedelta
+    ) -> list[Action]:
+        service = ids.ServiceName(call.request.name)
+        candidates = [
+            routing.Candidate(one.target, one.address, one.availability_zone)
+            for one in self._service_targets.get(service, ())
+            if not self._marks.excludes(one.target)
+        ]
+        candidate = self._route(candidates, call.tried, self._in_flight, None)
+        if candidate is None:
+            if call.failures:
+                code = refusals.Code.TARGET_FAILED
+                text = f"the target failed: {call.failures[-1].value}"
+            else:
+                code = refusals.Code.NO_TARGET
+                text = "no target is available"
+            return [self._refuse(token, code, text, retry_after=SUSPECT_TIME)]
+        return self._start(token, call, candidate, now)
+
+    def _start(
+        self,
+        token: int,
+        call: _Call,
+        candidate: routing.Candidate,
+        now: datetime.timedelta,
+    ) -> list[Action]:
+        call.waiting = None
+        call.target = candidate
+        call.tried.add(candidate.target)
+        self._count(call, 1)
+        if call.adapter is not None:
+            known = self._resident.get((candidate.target, call.adapter))
+            if known is None or known <= now:
+                call.phase = _Phase.ADAPTER
+                return [
+                    EnsureAdapter(
+                        token,
+                        candidate.target,
+                        call.adapter,
+                        call.request.deadline - now,
+                    )
+                ]
+        return self._open_or_send(token, call, now)
+
+    def _open_or_send(
+        self, token: int, call: _Call, now: datetime.timedelta
+    ) -> list[Action]:
+        assert call.target is not None
+        if call.request.key is not None and not call.key_claimed:
+            if call.request.key in self._unused_keys:
+                call.key_claimed = True
+                self._unused_keys.pop(call.request.key)
+            else:
+                call.phase = _Phase.OPENING
+                return [Open(token, call.target.target, call.target.address)]
+        return [self._send(token, call, now)]
+
+    def _send(
+        self,
+        token: int,
+        call: _Call,
+        now: datetime.timedelta,
+        resume_after: str = "",
+    ) -> Action:
+        assert call.target is not None
+        call.phase = _Phase.SENT
+        call.ever_sent = True
+        call.sent_at = now
+        return Send(
+            token,
+            call.target.target,
+            call.target.address,
+            not call.request.repeatable,
+            call.servable,
+            call.adapter,
+            resume_after,
+        )
+
+    def _count(self, call: _Call, change: int) -> None:
+        assert call.target is not None
+        target = call.target.target
+        _add(self._in_flight, target, change)
+        if call.servable is not None:
+            _add(self._running, (target, call.servable), change)
+
+    # ---- Progress of a call
+
+    def _opened(self, event: Opened, now: datetime.timedelta) -> list[Action]:
+        call = self._calls[event.token]
+        assert call.request.key is not None
+        call.phase = _Phase.CLAIMING
+        left = call.request.deadline - now
+        return [ClaimKey(event.token, call.request.key, left)]
+
+    def _key_decided(
+        self, event: KeyDecided, now: datetime.timedelta
+    ) -> list[Action]:
+        call = self._calls[event.token]
+        if event.decision is KeyDecision.RUN:
+            call.key_claimed = True
+            if now >= call.request.deadline:
+                return self._give_up(
+                    event.token,
+                    call,
+                    refusals.Code.DEADLINE_EXCEEDED,
+                    "the idempotency key was claimed too late",
+                    now,
+                )
+            return [self._send(event.token, call, now)]
+        if event.decision is KeyDecision.UNAVAILABLE:
+            return self._give_up(
+                event.token,
+                call,
+                refusals.Code.LOG_UNAVAILABLE,
+                "the idempotency key could not be claimed",
+                now,
+            )
+        if event.decision is KeyDecision.UNKNOWN or event.outcome is None:
+            return self._give_up(
+                event.token,
+                call,
+                refusals.Code.OUTCOME_UNKNOWN,
+                "the outcome of an earlier try is not known",
+                now,
+            )
+        if event.outcome.digest != call.request.digest:
+            return self._give_up(
+                event.token,
+                call,
+                refusals.Code.KEY_CONFLICT,
+                "the idempotency key belongs to another request",
+                now,
+            )
+        actions = self._leave_target(call, now)
+        self._finish(call)
+        return [Replay(event.token, event.outcome), *actions]
+
+    def _adapter_decided(
+        self, event: AdapterDecided, now: datetime.timedelta
+    ) -> list[Action]:
+        call = self._calls[event.token]
+        assert call.target is not None
+        assert call.adapter is not None
+        if event.resident:
+            key = (call.target.target, call.adapter)
+            self._resident[key] = now + RESIDENCY_TIME
+            if now < call.request.deadline:
+                return self._open_or_send(event.token, call, now)
+        return self._failed(
+            event.token, call, retries.Failure.ADAPTER_NOT_LOADED, now
+        )
+
+    def _attempt_ended(
+        self, event: AttemptEnded, now: datetime.timedelta
+    ) -> list[Action]:
+        call = self._calls[event.token]
+        if event.failure is None:
+            if call.servable is not None:
+                mean = self._service_time(call.servable)
+                mean.record(now - call.sent_at)
+            actions = self._leave_target(call, now)
+            self._finish(call)
+            return actions
+        if event.answered:
+            return self._failed_after_answer(event, call, now)
+        return self._failed(event.token, call, event.failure, now)
+
+    def _failed_after_answer(
+        self, event: AttemptEnded, call: _Call, now: datetime.timedelta
+    ) -> list[Action]:
+        failure = event.failure
+        assert failure is not None
+        assert call.target is not None
+        call.failures.append(failure)
+        resumable = failure in (retries.Failure.CUT, retries.Failure.SILENT)
+        if (
+            resumable
+            and event.last_event
+            and not call.caller_gone
+            and call.resumes < MAX_RESUMES
+            and now < call.request.deadline
+            and self._budget.try_spend()
+        ):
+            call.resumes += 1
+            return [
+                self._send(event.token, call, now, event.last_event),
+            ]
+        self._mark(call, failure, now)
+        code = refusals.Code.STREAM_CUT
+        if failure is retries.Failure.DEADLINE:
+            code = refusals.Code.DEADLINE_EXCEEDED
+        return self._give_up(
+            event.token, call, code, f"the stream ended: {failure.value}", now
+        )
+
+    def _failed(
+        self,
+        token: int,
+        call: _Call,
+        failure: retries.Failure,
+        now: datetime.timedelta,
+    ) -> list[Action]:
+        call.failures.append(failure)
+        self._mark(call, failure, now)
+        if call.caller_gone or failure is retries.Failure.ABANDONED:
+            actions = self._leave_target(call, now)
+            self._finish(call)
+            return [Abandon(token), *actions]
+        if failure is retries.Failure.DEADLINE or now >= call.request.deadline:
+            return self._give_up(
+                token,
+                call,
+                refusals.Code.DEADLINE_EXCEEDED,
+                f"no answer in time: {failure.value}",
+                now,
+            )
+        if not retries.may_retry(
+            failure, repeatable=call.request.repeatable, answered=False
+        ):
+            return self._give_up(
+                token, call, _code_of(failure), _text_of(failure), now
+            )
+        if not self._budget.try_spend():
+            return self._give_up(
+                token,
+                call,
+                refusals.Code.RETRY_BUDGET_SPENT,
+                f"too many retries: {failure.value}",
+                now,
+            )
+        actions = self._leave_target(call, now)
+        return actions + self._again(token, call, now)
+
+    def _again(
+        self, token: int, call: _Call, now: datetime.timedelta
+    ) -> list[Action]:
+        if call.servable is None:
+            return self._dispatch_plain(token, call, now)
+        self._put_in_queue(token, call)
+        assert call.waiting is not None
+        # It was admitted before, so the limit does not apply.
+        self._queues[call.servable].add(call.waiting)
+        return self._pump(call.servable, now)
+
+    def _mark(
+        self, call: _Call, failure: retries.Failure, now: datetime.timedelta
+    ) -> None:
+        if call.target is None:
+            return
+        target = call.target.target
+        if failure in (
+            retries.Failure.UNREACHABLE,
+            retries.Failure.SILENT,
+            retries.Failure.CUT,
+            retries.Failure.MISMATCH,
+        ):
+            self._marks.suspect[target] = now + SUSPECT_TIME
+        elif failure is retries.Failure.DRAINING:
+            self._marks.leaving[target] = now + LEAVING_TIME
+        elif call.servable is not None:
+            key = (target, call.servable)
+            if failure is retries.Failure.OVERLOADED:
+                self._marks.backoff[key] = now + OVERLOAD_BACKOFF
+            elif failure is retries.Failure.MODEL_NOT_LOADED:
+                self._marks.backoff[key] = now + NOT_LOADED_BACKOFF
+            elif (
+                failure is retries.Failure.ADAPTER_NOT_LOADED
+                and call.adapter is not None
+            ):
+                self._resident.pop((target, call.adapter), None)
+
+    def _leave_target(
+        self, call: _Call, now: datetime.timedelta
+    ) -> list[Action]:
+        """Gives back the place on the target and hands it to the queue."""
+        if call.target is None:
+            return []
+        self._count(call, -1)
+        call.target = None
+        call.phase = _Phase.WAITING
+        if call.servable is None:
+            return []
+        return self._pump(call.servable, now)
+
+    def _give_up(
+        self,
+        token: int,
+        call: _Call,
+        code: refusals.Code,
+        message: str,
+        now: datetime.timedelta,
+    ) -> list[Action]:
+        actions = self._leave_target(call, now)
+        return [self._refuse(token, code, message), *actions]
+
+    def _refuse(
+        self,
+        token: int,
+        code: refusals.Code,
+        message: str,
+        retry_after: datetime.timedelta = refusals.DEFAULT_RETRY_AFTER,
+    ) -> Action:
+        call = self._calls[token]
+        run = retries.run_after(call.failures)
+        if code is refusals.Code.OUTCOME_UNKNOWN:
+            run = refusals.Run.UNKNOWN
+        self._finish(call)
+        if call.caller_gone:
+            return Abandon(token)
+        return Refuse(
+            token,
+            refusals.Refusal(
+                code, message, call.request.request_id, run, retry_after
+            ),
+        )
+
+    def _finish(self, call: _Call) -> None:
+        """Closes the books of a call whose last action is given out."""
+        if call.phase is _Phase.FINISHED:
+            return
+        call.phase = _Phase.FINISHED
+        call.waiting = None
+        key = call.request.key
+        if key is None or self._open_keys.get(key) != call.request.digest:
+            return
+        if call.key_claimed and not self._may_have_run(call):
+            self._unused_keys[key] = call.request.digest
+            while len(self._unused_keys) > UNUSED_KEY_LIMIT:
+                self._unused_keys.pop(next(iter(self._unused_keys)))
+
+    def _may_have_run(self, call: _Call) -> bool:
+        if not call.ever_sent:
+            return False
+        return (
+            not call.failures
+            or retries.run_after(call.failures) is refusals.Run.UNKNOWN
+        )
+
+    def _caller_gone(
+        self, event: CallerGone, now: datetime.timedelta
+    ) -> list[Action]:
+        call = self._calls.get(event.token)
+        if call is None or call.phase is _Phase.FINISHED:
+            return []
+        call.caller_gone = True
+        if call.phase is _Phase.WAITING:
+            assert call.servable is not None
+            if call.waiting is not None:
+                self._queues[call.servable].remove(call.waiting)
+            self._finish(call)
+            return [Abandon(event.token)]
+        if call.phase is _Phase.SENT and call.request.repeatable:
+            # Other phases end soon by themselves, and a call that may not be
+            # repeated goes on so that its outcome is kept.
+            if call.request.key is not None:
+                return []
+            call.cancelled = True
+            return [CancelAttempt(event.token, retries.Failure.ABANDONED)]
+        return []
+
+    def _call_ended(
+        self, event: CallEnded, now: datetime.timedelta
+    ) -> list[Action]:
+        call = self._calls.pop(event.token)
+        if call.request.stream:
+            self._streams -= 1
+        self._finish(call)
+        key = call.request.key
+        owns = key is not None and (
+            self._open_keys.get(key) == call.request.digest
+        )
+        if owns and not any(
+            other.request.key == key for other in self._calls.values()
+        ):
+            assert key is not None
+            del self._open_keys[key]
+        return self._stop_when_drained(now)
+
+    # ---- Routes, reports and time
+
+    def _routes_received(
+        self, event: RoutesReceived, now: datetime.timedelta
+    ) -> list[Action]:
+        self._log_reachable = event.log_reachable
+        self._routes_version = event.routes_version
+        self._catalog_version = event.catalog_version
+        self._update_catalog(event)
+        if event.service_targets is not None:
+            # A service stays known when its last target has gone, so that
+            # callers learn that it is away and not that it never existed.
+            for targets in self._service_targets.values():
+                targets.clear()
+            for one in event.service_targets:
+                self._service_targets.setdefault(one.service, []).append(one)
+        if event.replicas is None:
+            return []
+        self._routes_at = now
+        self._replicas.clear()
+        for replica in event.replicas:
+            self._replicas.setdefault(replica.servable, []).append(replica)
+        actions: list[Action] = []
+        for servable in list(self._queues):
+            actions += self._pump(servable, now)
+            actions += self._refuse_hopeless(servable, now)
+        return actions
+
+    def _update_catalog(self, event: RoutesReceived) -> None:
+        if event.catalog_complete:
+            self._models.clear()
+            self._adapters.clear()
+        for name, model in event.models.items():
+            if model is None:
+                self._models.pop(name, None)
+            else:
+                self._models[name] = model
+        for adapter, of_model in event.adapters.items():
+            if of_model is None:
+                self._adapters.pop(adapter, None)
+            else:
+                self._adapters[adapter] = of_model
+
+    def _report_wanted(
+        self, event: ReportWanted, now: datetime.timedelta
+    ) -> list[Action]:
+        demands: dict[routing.Servable, Demand] = {}
+        for call in self._calls.values():
+            if call.servable is None or call.phase is _Phase.FINISHED:
+                continue
+            waits = call.phase is _Phase.WAITING
+            old = demands.get(call.servable) or Demand(
+                call.servable, 0, 0, _ZERO, 0
+            )
+            waited = now - call.arrived if waits else _ZERO
+            priority = call.waiting.priority if call.waiting else 0
+            demands[call.servable] = Demand(
+                call.servable,
+                old.waiting + waits,
+                old.running + (not waits),
+                max(old.oldest_wait, waited),
+                max(old.priority, priority),
+            )
+        return [
+            SendReport(
+                self._routes_version,
+                self._catalog_version,
+                tuple(demands.values()),
+                dict(self._in_flight),
+                tuple(self._marks.suspect),
+                not self._drain.accepts,
+            )
+        ]
+
+    def _tick(self, event: Tick, now: datetime.timedelta) -> list[Action]:
+        actions: list[Action] = []
+        for servable, queue in list(self._queues.items()):
+            actions += self._pump(servable, now)
+            actions += self._refuse_hopeless(servable, now)
+            if not queue:
+                del self._queues[servable]
+        for token, call in self._calls.items():
+            if call.phase is not _Phase.SENT or call.cancelled:
+                continue
+            if now >= call.request.deadline:
+                call.cancelled = True
+                actions.append(CancelAttempt(token, retries.Failure.DEADLINE))
+        for key in [one for one, end in self._resident.items() if end <= now]:
+            del self._resident[key]
+        return actions + self._stop_when_drained(now)
+
+    def _drain_requested(
+        self, event: DrainRequested, now: datetime.timedelta
+    ) -> list[Action]:
+        self._drain.begin(now)
+        return self._stop_when_drained(now)
+
+    def _stop_when_drained(self, now: datetime.timedelta) -> list[Action]:
+        state = self._drain.update(len(self._calls), now)
+        if self._stopped or state not in (
+            drain.State.DONE,
+            drain.State.TIMED_OUT,
+        ):
+            return []
+        self._stopped = True
+        return [Stop(len(self._calls))]
+
+    def _dump_wanted(
+        self, event: DumpWanted, now: datetime.timedelta
+    ) -> list[Action]:
+        event.reply(self._dump(now))
+        return []
+
+    def _dump(self, now: datetime.timedelta) -> dict[str, Any]:
+        return {
+            "state": self._drain.state.value,
+            "routes_version": self._routes_version,
+            "catalog_version": self._catalog_version,
+            "log_reachable": self._log_reachable,
+            "models": len(self._models),
+            "adapters": len(self._adapters),
+            "calls": [
+                {
+                    "request_id": call.request.request_id,
+                    "name": call.request.name,
+                    "phase": call.phase.value,
+                    "target": call.target.target if call.target else "",
+                    "age_s": (now - call.arrived).total_seconds(),
+                    "failures": [one.value for one in call.failures],
+                }
+                for call in self._calls.values()
+            ],
+            "waiting": {
+                f"{servable.model}@{servable.version}": len(queue)
+                for servable, queue in self._queues.items()
+            },
+            "in_flight": dict(self._in_flight),
+            "suspect": list(self._marks.suspect),
+            "leaving": list(self._marks.leaving),
+            "retry_tokens": self._budget.tokens,
+            "replicas": [
+                {
+                    "model": replica.servable.model,
+                    "version": replica.servable.version,
+                    "target": replica.target,
+                    "state": replica.state.value,
+                }
+                for replicas in self._replicas.values()
+                for replica in replicas
+            ],
+            "service_targets": {
+                service: [one.target for one in targets]
+                for service, targets in self._service_targets.items()
+            },
+        }
+
+
+def _slots(replica: routing.Replica) -> int:
+    return replica.max_running or DEFAULT_MAX_RUNNING
+
+
+def _add(table: dict[Any, int], key: Any, change: int) -> None:
+    left = table.get(key, 0) + change
+    if left:
+        table[key] = left
+    else:
+        table.pop(key, None)
+
+
+def _code_of(failure: retries.Failure) -> refusals.Code:
+    if failure is retries.Failure.MISMATCH:
+        return refusals.Code.ANSWER_MISMATCH
+    return refusals.Code.TARGET_FAILED
+
+
+def _text_of(failure: retries.Failure) -> str:
+    return f"the target failed: {failure.value}"
+
+
+_HANDLERS: dict[type, Callable[..., list[Action]]] = {
+    Arrived: Gateway._arrived,
+    Opened: Gateway._opened,
+    KeyDecided: Gateway._key_decided,
+    AdapterDecided: Gateway._adapter_decided,
+    AttemptEnded: Gateway._attempt_ended,
+    CallEnded: Gateway._call_ended,
+    CallerGone: Gateway._caller_gone,
+    RoutesReceived: Gateway._routes_received,
+    ReportWanted: Gateway._report_wanted,
+    DrainRequested: Gateway._drain_requested,
+    Tick: Gateway._tick,
+    DumpWanted: Gateway._dump_wanted,
+}
+
+
+def make_gateway(limits: Limits, router: routing.Router) -> Gateway:
+    """Returns the core of an entry process."""
+    return Gateway(limits, router)
