--- /dev/null
+++ b/src/quetzalgauge/callers.py
@@ -0,0 +1,854 @@
+"""The caller interface: HTTP requests and answers (cheroot).
+
+A worker thread of cheroot carries a call from its first byte to its last. It
+tells the core what happened and carries out the core's actions for its call.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import contextlib
+import dataclasses
+import datetime
+import errno
+import hashlib
+import http.client
+import itertools
+import json
+import logging
+import queue
+import re
+import select
+import socket
+import ssl
+import threading
+from typing import Any
+import uuid
+
+import cheroot.server
+
+from quetzalgauge import clock
+from quetzalgauge import controllink
+from quetzalgauge import gateway
+from quetzalgauge import ids
+from quetzalgauge import logs
+from quetzalgauge import refusals
+from quetzalgauge import retries
+from quetzalgauge import settings
+from quetzalgauge import streams
+from quetzalgauge import targets
+
+MAX_HEADER_BYTES = 65_536
+BACKLOG = 1024
+# Longest pause of a caller while it sends a request or takes an answer.
+CALLER_TIMEOUT_SECONDS = 10
+KEEP_ALIVE_CONNECTIONS = 2000
+
+_COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
+_MODELS_PATH = "/v1/models"
+_SERVICES_PREFIX = "/services/"
+_REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Headers for the system itself, which targets do not get from callers.
+_OWN_HEADERS = frozenset(
+    {"idempotency-key", "last-event-id", "x-deadline-ms", "x-request-id"}
+)
+_TOKEN = re.compile(r"[!-~]{1,128}\Z")
+_KEY = re.compile(r"[ -~]{1,255}\Z")
+_METHOD = re.compile(r"[A-Z]{1,20}\Z")
+_PATH = re.compile(rb"/[!-~]*\Z")
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,100}\Z")
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
+_HEADER_VALUE = re.compile(r"[\t -~\x80-\xff]*\Z")
+_CALLER_GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+
+_log = logs.make_logger("callers")
+
+
+class BadRequestError(ValueError):
+    """A caller's request is not valid.
+
+    Attributes:
+        code: Code of the refusal.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        code: refusals.Code = refusals.Code.BAD_REQUEST,
+    ) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parsed:
+    """A request for the core, and what a target gets."""
+
+    request: gateway.Request
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    document: dict[str, Any] | None = None
+
+
+# ---- Calls in progress -----------------------------------------------------
+
+
+class Call:
+    """What the worker thread of a call shares with the owner task."""
+
+    def __init__(self, token: int) -> None:
+        self.token = token
+        self.actions: queue.SimpleQueue[gateway.Action] = queue.SimpleQueue()
+        self._attempt: targets.Attempt | None = None
+        self._lock = threading.Lock()
+
+    def new_attempt(self) -> targets.Attempt:
+        """Starts an attempt that the owner task may end."""
+        with self._lock:
+            self._attempt = targets.Attempt()
+            return self._attempt
+
+    def end_attempt(self, reason: retries.Failure) -> None:
+        """Ends the attempt in progress, if any."""
+        with self._lock:
+            attempt = self._attempt
+        if attempt is not None:
+            attempt.end(reason)
+
+
+class CallerWatch:
+    """Notices that a caller has closed its connection during a call."""
+
+    def __init__(self, tell: Callable[[gateway.Event], None]) -> None:
+        self._tell = tell
+        self._epoll = select.epoll()
+        self._tokens: dict[int, int] = {}
+
+    def add(self, handle: socket.socket, token: int) -> None:
+        """Watches a caller's socket."""
+        number = handle.fileno()
+        self._tokens[number] = token
+        with contextlib.suppress(OSError):
+            self._epoll.register(number, _CALLER_GONE | select.EPOLLONESHOT)
+
+    def remove(self, handle: socket.socket) -> None:
+        """Ends the watch; must be called before the socket is closed."""
+        number = handle.fileno()
+        self._tokens.pop(number, None)
+        with contextlib.suppress(OSError, ValueError):
+            self._epoll.unregister(number)
+
+    def run(self) -> None:
+        """Reports callers that have gone, until the process ends."""
+        while True:
+            for number, _ in self._epoll.poll():
+                token = self._tokens.get(number)
+                if token is not None:
+                    self._tell(gateway.CallerGone(token))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What calls need from the rest of the process."""
+
+    config: settings.EntrySettings
+    now: clock.Clock
+    tell: Callable[[gateway.Event], None]
+    calls: dict[int, Call]
+    watch: CallerWatch
+    client: targets.TargetClient
+    link: controllink.ControlLink
+    observe: Callable[[str, str, float], None]
+
+
+# ---- Parsing ---------------------------------------------------------------
+
+
+def _header(req: Any, name: bytes) -> str | None:
+    value = req.inheaders.get(name)
+    return None if value is None else value.decode("latin-1").strip()
+
+
+def parse_request_id(req: Any) -> ids.RequestId:
+    """Returns the caller's request id, or a new one."""
+    given = _header(req, b"X-Request-Id")
+    if given is None:
+        return ids.RequestId(uuid.uuid4().hex)
+    if not _TOKEN.match(given):
+        raise BadRequestError("X-Request-Id must be 1 to 128 visible letters")
+    return ids.RequestId(given)
+
+
+def parse_deadline(
+    req: Any, config: settings.EntrySettings
+) -> datetime.timedelta:
+    """Returns the time that the caller gives, at most the maximum."""
+    given = _header(req, b"X-Deadline-Ms")
+    if given is None:
+        return config.default_deadline
+    if not given.isascii() or not given.isdigit() or len(given) > 12:
+        raise BadRequestError("X-Deadline-Ms must be a number of milliseconds")
+    wanted = datetime.timedelta(milliseconds=int(given))
+    return min(wanted, config.max_deadline)
+
+
+def parse_priority(req: Any) -> int | None:
+    """Returns the priority of the header, or None."""
+    given = _header(req, b"X-Priority")
+    if given is None:
+        return None
+    if len(given) != 1 or given not in "0123456789":
+        raise BadRequestError("X-Priority must be 0 to 9")
+    return int(given)
+
+
+def read_body(req: Any, limit: int) -> bytes:
+    """Reads the body of a request."""
+    length = _header(req, b"Content-Length")
+    if not req.chunked_read and length is not None and int(length) > limit:
+        raise BadRequestError(
+            f"the body is longer than {limit} bytes",
+            refusals.Code.BODY_TOO_LARGE,
+        )
+    try:
+        body: bytes = req.rfile.read(limit + 1)
+    except TimeoutError:
+        raise BadRequestError("the body did not arrive in time") from None
+    except (ValueError, OSError) as error:
+        raise BadRequestError("the body is not valid") from error
+    if len(body) > limit:
+        raise BadRequestError(
+            f"the body is longer than {limit} bytes",
+            refusals.Code.BODY_TOO_LARGE,
+        )
+    if not req.chunked_read and len(body) < int(length or 0):
+        raise BadRequestError("the body is incomplete")
+    return body
+
+
+def _no_constant(name: str) -> None:
+    raise ValueError(f"{name} is not JSON")
+
+
+def parse_document(body: bytes) -> dict[str, Any]:
+    """Parses the body of a completion."""
+    try:
+        document = json.loads(body, parse_constant=_no_constant)
+    except (ValueError, RecursionError) as error:
+        raise BadRequestError("the body is not JSON") from error
+    if not isinstance(document, dict):
+        raise BadRequestError("the body must be a JSON object")
+    model = document.get("model")
+    if not isinstance(model, str) or not model or len(model) > 300:
+        raise BadRequestError("`model` must be the name of a model")
+    if not isinstance(document.get("stream", False), bool):
+        raise BadRequestError("`stream` must be true or false")
+    return document
+
+
+def _hash_key(scope: str, key: str) -> ids.KeyHash:
+    digest = hashlib.sha256(f"{scope}\0{key}".encode()).digest()
+    return ids.KeyHash(int.from_bytes(digest[:8], "big", signed=True))
+
+
+def _digest(method: str, path: str, body: bytes) -> str:
+    text = f"{method}\0{path}\0".encode()
+    return hashlib.sha256(text + body).hexdigest()
+
+
+def parse(
+    req: Any, request_id: ids.RequestId, parts: Parts, arrived: Any
+) -> Parsed:
+    """Parses a request for a model or a plain service.
+
+    Raises:
+        BadRequestError: It is not valid.
+    """
+    deadline = arrived + parse_deadline(req, parts.config)
+    priority = parse_priority(req)
+    key = _header(req, b"Idempotency-Key")
+    if key is not None and not _KEY.match(key):
+        raise BadRequestError("Idempotency-Key must be 1 to 255 letters")
+    method = req.method.decode("latin-1")
+    uri: bytes = req.uri
+    if not _METHOD.match(method) or not _PATH.match(uri):
+        raise BadRequestError("the method or the path is not valid")
+    text = uri.decode("ascii")
+    body = read_body(req, parts.config.max_body_bytes)
+    if text.startswith(_SERVICES_PREFIX):
+        return _parse_plain(
+            req, request_id, method, text, body, key, priority, deadline
+        )
+    return _parse_completion(
+        request_id, method, text, body, key, priority, deadline
+    )
+
+
+def _parse_completion(
+    request_id: ids.RequestId,
+    method: str,
+    uri: str,
+    body: bytes,
+    key: str | None,
+    priority: int | None,
+    deadline: datetime.timedelta,
+) -> Parsed:
+    path = uri.partition("?")[0]
+    if path not in _COMPLETION_PATHS:
+        raise BadRequestError("no such path")
+    if method != "POST":
+        raise BadRequestError("the method must be POST")
+    document = parse_document(body)
+    stream = document.get("stream", False)
+    if stream and key is not None:
+        raise BadRequestError("a stream cannot have an Idempotency-Key")
+    request = gateway.Request(
+        request_id,
+        gateway.Kind.COMPLETION,
+        document["model"],
+        stream,
+        True,
+        priority,
+        deadline,
+        None if key is None else _hash_key(path, key),
+        _digest(method, path, body),
+    )
+    headers = {
+        "Content-Type": "application/json",
+        "X-Request-Id": request_id,
+        "Accept": "text/event-stream" if stream else "application/json",
+    }
+    if priority is not None:
+        headers["X-Priority"] = str(priority)
+    return Parsed(request, method, path, headers, b"", document)
+
+
+def _parse_plain(
+    req: Any,
+    request_id: ids.RequestId,
+    method: str,
+    uri: str,
+    body: bytes,
+    key: str | None,
+    priority: int | None,
+    deadline: datetime.timedelta,
+) -> Parsed:
+    rest = uri.removeprefix(_SERVICES_PREFIX)
+    service, _, path = rest.partition("/")
+    if "?" in service:
+        service, _, query = service.partition("?")
+        path = f"?{query}"
+    if not _NAME.match(service):
+        raise BadRequestError("no such service", refusals.Code.UNKNOWN_SERVICE)
+    request = gateway.Request(
+        request_id,
+        gateway.Kind.PLAIN,
+        service,
+        False,
+        method in _REPEATABLE_METHODS,
+        priority,
+        deadline,
+        None if key is None else _hash_key(service, key),
+        _digest(method, uri, body),
+    )
+    headers = {}
+    for raw_name, raw_value in req.inheaders.items():
+        name = raw_name.decode("latin-1")
+        value = raw_value.decode("latin-1").strip()
+        if name.lower() in _HOP_BY_HOP or name.lower() in _OWN_HEADERS:
+            continue
+        if not _HEADER_NAME.match(name) or not _HEADER_VALUE.match(value):
+            raise BadRequestError("a header is not valid")
+        headers[name] = value
+    headers["X-Request-Id"] = request_id
+    # Without it, urllib3 would ask for encodings that the caller may not
+    # know.
+    if "accept-encoding" not in {name.lower() for name in headers}:
+        headers["Accept-Encoding"] = "identity"
+    if body or method not in _REPEATABLE_METHODS:
+        headers["Content-Length"] = str(len(body))
+    return Parsed(request, method, f"/{path}", headers, body)
+
+
+# ---- Answering -------------------------------------------------------------
+
+
+def _write_answer(
+    req: Any,
+    status: int,
+    reason: str,
+    headers: Sequence[tuple[str, str]],
+    body: bytes,
+    request_id: str,
+) -> None:
+    reason = reason or http.client.responses.get(status, "Unknown")
+    line = f"{status} {reason}".encode("latin-1", "replace")
+    req.status = line.replace(b"\r", b" ").replace(b"\n", b" ")
+    req.outheaders = [(b"X-Request-Id", request_id.encode("latin-1"))]
+    given_length = None
+    for name, value in headers:
+        lower = name.lower()
+        if lower == "content-length":
+            given_length = value
+        if lower in _HOP_BY_HOP or lower in ("x-request-id", "date"):
+            continue
+        if _HEADER_NAME.match(name) and _HEADER_VALUE.match(value):
+            req.outheaders.append((name.encode(), value.encode("latin-1")))
+    has_body = req.method != b"HEAD" and status not in (204, 304)
+    if has_body:
+        length = str(len(body))
+        req.outheaders.append((b"Content-Length", length.encode()))
+    elif given_length is not None and given_length.isdecimal():
+        req.outheaders.append((b"Content-Length", given_length.encode()))
+    req.ensure_headers_sent()
+    if has_body:
+        req.write(body)
+
+
+def write_refusal(req: Any, refusal: refusals.Refusal) -> None:
+    """Writes a refusal as the whole answer."""
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Retry-After", str(refusal.retry_after_seconds)),
+    ]
+    _write_answer(
+        req,
+        refusal.status,
+        "",
+        headers,
+        refusals.encode(refusal),
+        refusal.request_id,
+    )
+
+
+def write_json(req: Any, value: Any, request_id: str) -> None:
+    """Writes a JSON answer."""
+    headers = [("Content-Type", "application/json")]
+    _write_answer(req, 200, "", headers, json.dumps(value).encode(), request_id)
+
+
+class _StreamWriter:
+    """Writes the events of one stream to the caller."""
+
+    def __init__(self, req: Any, request_id: str) -> None:
+        self._req = req
+        self._request_id = request_id
+        self._started = False
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the caller has received a byte."""
+        return self._started
+
+    def write(self, data: bytes) -> None:
+        """Writes events; OSError means that the caller has gone."""
+        if not self._started:
+            self._started = True
+            self._start()
+        self._req.write(data)
+
+    def _start(self) -> None:
+        self._req.status = b"200 OK"
+        self._req.outheaders = [
+            (b"Content-Type", b"text/event-stream"),
+            (b"Cache-Control", b"no-cache"),
+            (b"X-Request-Id", self._request_id.encode("latin-1")),
+        ]
+        self._req.ensure_headers_sent()
+
+
+class _Worker:
+    """Carries one call."""
+
+    def __init__(self, req: Any, parsed: Parsed, call: Call, parts: Parts):
+        self._req = req
+        self._parsed = parsed
+        self._call = call
+        self._parts = parts
+        self._deadline = parsed.request.deadline.total_seconds()
+        self._writer = _StreamWriter(req, parsed.request.request_id)
+        self._events = streams.EventFilter()
+        self._opened: targets.Connection | None = None
+        self._outcome = "ok"
+
+    @property
+    def outcome(self) -> str:
+        """`ok` or the code of the refusal."""
+        return self._outcome
+
+    def run(self) -> None:
+        """Carries out actions until the last one."""
+        try:
+            while not self._carry_out(self._call.actions.get()):
+                pass
+        finally:
+            if self._opened is not None:
+                self._opened.close()
+
+    def _carry_out(self, action: gateway.Action) -> bool:
+        """Carries out an action; returns whether it was the last one."""
+        token = self._call.token
+        match action:
+            case gateway.Send():
+                return self._send(action)
+            case gateway.Open():
+                self._open(action)
+            case gateway.ClaimKey():
+                decision, outcome = self._parts.link.claim_key(
+                    action.key, action.timeout
+                )
+                self._tell(gateway.KeyDecided(token, decision, outcome))
+            case gateway.EnsureAdapter():
+                resident = self._parts.link.ensure_adapter(
+                    action.target, action.adapter, action.timeout
+                )
+                self._tell(gateway.AdapterDecided(token, resident))
+            case gateway.Refuse():
+                self._refuse(action.refusal)
+                return True
+            case gateway.Replay():
+                self._replay(action.outcome)
+                return True
+            case gateway.Abandon():
+                self._outcome = "abandoned"
+                raise ConnectionResetError(errno.ECONNRESET, "caller gone")
+        return False
+
+    def _tell(self, event: gateway.Event) -> None:
+        self._parts.tell(event)
+
+    def _refuse(self, refusal: refusals.Refusal) -> None:
+        self._outcome = refusal.code.value
+        if self._writer.is_started:
+            self._writer.write(refusals.encode_event(refusal))
+        else:
+            write_refusal(self._req, refusal)
+
+    def _replay(self, outcome: gateway.StoredOutcome) -> None:
+        _write_answer(
+            self._req,
+            outcome.status,
+            "",
+            outcome.headers,
+            outcome.body,
+            self._parsed.request.request_id,
+        )
+
+    def _open(self, action: gateway.Open) -> None:
+        try:
+            self._opened = self._parts.client.connect(
+                action.address, self._deadline
+            )
+        except targets.AttemptError as error:
+            self._tell(gateway.AttemptEnded(self._call.token, error.failure))
+        else:
+            self._tell(gateway.Opened(self._call.token))
+
+    def _send(self, action: gateway.Send) -> bool:
+        """Makes one attempt; returns whether the caller has its answer."""
+        attempt = self._call.new_attempt()
+        connection = None
+        try:
+            connection = self._take_connection(action)
+            return self._exchange(action, connection, attempt)
+        except targets.AttemptError as error:
+            attempt.detach()
+            if connection is not None:
+                connection.close()
+            self._fail(action, error.failure)
+            return False
+
+    def _fail(self, action: gateway.Send, failure: retries.Failure) -> None:
+        if failure in (retries.Failure.SILENT, retries.Failure.CUT):
+            self._parts.client.drop_idle(action.address)
+        self._tell(
+            gateway.AttemptEnded(
+                self._call.token,
+                failure,
+                self._writer.is_started,
+                self._events.last_event,
+            )
+        )
+
+    def _take_connection(self, action: gateway.Send) -> targets.Connection:
+        opened, self._opened = self._opened, None
+        if opened is not None:
+            if opened.is_connected:
+                return opened
+            opened.close()
+        return self._parts.client.get_connection(
+            action.address, self._deadline, fresh=action.fresh
+        )
+
+    def _exchange(
+        self,
+        action: gateway.Send,
+        connection: targets.Connection,
+        attempt: targets.Attempt,
+    ) -> bool:
+        outgoing = self._make_outgoing(action)
+        client = self._parts.client
+        response = client.start(connection, outgoing, attempt)
+        media = response.headers.get("Content-Type", "")
+        is_events = media.split(";")[0].strip() == "text/event-stream"
+        if self._parsed.request.stream and (
+            response.status == 200 and is_events
+        ):
+            return self._copy_stream(action, connection, response, attempt)
+        answer = client.read_answer(response, outgoing, attempt)
+        client.give_back(action.address, connection, attempt)
+        if self._writer.is_started:
+            # The target could not resume the stream.
+            raise targets.AttemptError(retries.Failure.MALFORMED)
+        if self._parsed.document is not None:
+            failure = targets.classify_completion(answer)
+            if failure is not None:
+                raise targets.AttemptError(failure)
+        self._tell(gateway.AttemptEnded(self._call.token, None))
+        self._store(answer)
+        _write_answer(
+            self._req,
+            answer.status,
+            answer.reason,
+            answer.headers,
+            answer.body,
+            self._parsed.request.request_id,
+        )
+        return True
+
+    def _make_outgoing(self, action: gateway.Send) -> targets.Outgoing:
+        headers = self._parsed.headers
+        body = self._parsed.body
+        document = self._parsed.document
+        if document is not None:
+            assert action.servable is not None
+            document = dict(document)
+            document["model"] = action.servable.model
+            document.pop("adapter", None)
+            if action.adapter is not None:
+                document["adapter"] = action.adapter
+            body = json.dumps(document).encode()
+        if action.resume_after:
+            headers = {**headers, "Last-Event-ID": action.resume_after}
+        return targets.Outgoing(
+            self._parsed.method,
+            self._parsed.path,
+            headers,
+            body,
+            self._parsed.request.request_id,
+            self._deadline,
+        )
+
+    def _store(self, answer: targets.Answer) -> None:
+        key = self._parsed.request.key
+        if key is None:
+            return
+        headers = tuple(
+            (name, value)
+            for name, value in answer.headers
+            if name.lower() not in _HOP_BY_HOP
+        )
+        outcome = gateway.StoredOutcome(
+            answer.status, headers, answer.body, self._parsed.request.digest
+        )
+        if not self._parts.link.store_outcome(key, outcome):
+            _log.warning("an outcome was not stored")
+
+    def _copy_stream(
+        self,
+        action: gateway.Send,
+        connection: targets.Connection,
+        response: targets.Response,
+        attempt: targets.Attempt,
+    ) -> bool:
+        client = self._parts.client
+        events = self._events
+        if action.resume_after:
+            events.resume()
+        try:
+            while not events.is_done:
+                data = client.read(response, self._deadline, attempt)
+                if not data:
+                    raise targets.AttemptError(retries.Failure.CUT)
+                data = events.feed(data)
+                if data:
+                    self._write_events(data)
+        except streams.StreamError as error:
+            raise targets.AttemptError(retries.Failure.MALFORMED) from error
+        self._finish_stream(action, connection, response, attempt)
+        self._tell(gateway.AttemptEnded(self._call.token, None))
+        return True
+
+    def _write_events(self, data: bytes) -> None:
+        try:
+            self._writer.write(data)
+        except OSError as error:
+            raise targets.AttemptError(retries.Failure.ABANDONED) from error
+
+    def _finish_stream(
+        self,
+        action: gateway.Send,
+        connection: targets.Connection,
+        response: targets.Response,
+        attempt: targets.Attempt,
+    ) -> None:
+        """Keeps the connection if the answer ends right after the marker."""
+        client = self._parts.client
+        try:
+            connection.timeout = 1.0
+            rest = client.read(response, self._deadline, attempt)
+        except targets.AttemptError:
+            rest = b"unread"
+        if rest:
+            attempt.detach()
+            connection.close()
+        else:
+            client.give_back(action.address, connection, attempt)
+
+
+# ---- Server ----------------------------------------------------------------
+
+
+class _HttpRequest(cheroot.server.HTTPRequest):
+    """Answers requests that are not valid HTTP in the documented form."""
+
+    def simple_response(self, status: Any, msg: str = "") -> None:
+        """Writes a refusal and closes the connection."""
+        number = int(str(status)[:3])
+        code = refusals.Code.BAD_REQUEST
+        if number in (413, 414):
+            code = refusals.Code.BODY_TOO_LARGE
+        refusal = refusals.Refusal(
+            code, msg or "the request is not valid HTTP", ids.RequestId("")
+        )
+        body = refusals.encode(refusal)
+        head = (
+            f"HTTP/1.1 {refusal.status} "
+            f"{http.client.responses[refusal.status]}\r\n"
+            "Content-Type: application/json\r\nConnection: close\r\n"
+            f"Retry-After: 1\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write(head.encode() + body)
+
+    def respond(self) -> None:
+        """Answers the request."""
+        length = self.inheaders.get(b"Content-Length", b"0")
+        if not length.isdigit() or len(length) > 18:
+            self.simple_response(400, "Content-Length is not a number")
+            return
+        super().respond()
+
+
+class _HttpConnection(cheroot.server.HTTPConnection):
+    RequestHandlerClass = _HttpRequest
+
+
+class Server(cheroot.server.HTTPServer):
+    """The listener for callers."""
+
+    ConnectionClass = _HttpConnection
+    max_request_header_size = MAX_HEADER_BYTES
+    request_queue_size = BACKLOG
+    timeout = CALLER_TIMEOUT_SECONDS
+    keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+    # Several entry processes of an instance share the caller port.
+    reuse_port = True
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Writes a log line of cheroot."""
+        if msg:
+            _log.log(level, "%s", msg, exc_info=traceback)
+
+
+def _respond(req: Any, parts: Parts, tokens: Any) -> None:
+    arrived = parts.now()
+    request_id = ids.RequestId(uuid.uuid4().hex)
+    try:
+        request_id = parse_request_id(req)
+        path = req.uri.partition(b"?")[0].decode("latin-1")
+        if path == _MODELS_PATH and req.method in (b"GET", b"HEAD"):
+            _list_models(req, parts, request_id)
+            return
+        parsed = parse(req, request_id, parts, arrived)
+    except BadRequestError as error:
+        req.close_connection = True
+        refusal = refusals.Refusal(error.code, str(error), request_id)
+        write_refusal(req, refusal)
+        parts.observe("invalid", error.code.value, 0.0)
+        return
+    call = Call(next(tokens))
+    worker = _Worker(req, parsed, call, parts)
+    parts.calls[call.token] = call
+    parts.tell(gateway.Arrived(call.token, parsed.request))
+    handle = req.conn.socket
+    parts.watch.add(handle, call.token)
+    try:
+        worker.run()
+    finally:
+        parts.watch.remove(handle)
+        parts.tell(gateway.CallEnded(call.token))
+        took = parts.now() - arrived
+        kind = parsed.request.kind.value
+        parts.observe(kind, worker.outcome, took.total_seconds())
+
+
+def _list_models(req: Any, parts: Parts, request_id: ids.RequestId) -> None:
+    names: queue.SimpleQueue[list[str]] = queue.SimpleQueue()
+    parts.tell(gateway.ModelsWanted(names.put))
+    data = [
+        {"id": name, "object": "model", "owned_by": "quetzalgauge"}
+        for name in names.get()
+    ]
+    write_json(req, {"object": "list", "data": data}, request_id)
+
+
+def make_server(parts: Parts) -> Server:
+    """Returns the listener for callers; it does not listen yet."""
+    tokens = itertools.count(1)
+
+    class _Gateway(cheroot.server.Gateway):
+        def respond(self) -> None:
+            _respond(self.req, parts, tokens)
+
+    config = parts.config
+    server = Server(
+        (config.listen.host, config.listen.port),
+        _Gateway,
+        minthreads=config.threads,
+        maxthreads=config.threads,
+    )
+    if config.listen_tls is not None:
+        server.ssl_adapter = _make_ssl_adapter(config.listen_tls)
+    return server
+
+
+def _make_ssl_adapter(tls: settings.Tls) -> Any:
+    from cheroot.ssl import builtin
+
+    adapter = builtin.BuiltinSSLAdapter(str(tls.certificate), str(tls.key))
+    adapter.context.minimum_version = ssl.TLSVersion.TLSv1_2
+    return adapter
+
+
+logging.getLogger("urllib3").setLevel(logging.ERROR)
--- /dev/null
+++ b/src/quetzalgauge/entry.py
@@ -0,0 +1,222 @@
+"""quetzalgauge-entry: takes callers' requests to targets."""
+
+import datetime
+import logging
+import os
+import pathlib
+import queue
+import random
+import signal
+import sys
+import threading
+from typing import Annotated
+from typing import Any
+
+import cyclopts
+
+from quetzalgauge import callers
+from quetzalgauge import clock
+from quetzalgauge import controllink
+from quetzalgauge import exceptions
+from quetzalgauge import gateway
+from quetzalgauge import ids
+from quetzalgauge import logs
+from quetzalgauge import routing
+from quetzalgauge import settings
+from quetzalgauge import targets
+
+TICK = datetime.timedelta(milliseconds=50)
+# Threads that stay free to refuse requests while all others are busy.
+RESERVED_THREADS_SHARE = 8
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+_log = logs.make_logger("entry")
+app = cyclopts.App(name="quetzalgauge-entry")
+
+
+class Entry:
+    """An entry process: its tasks and the queues between them."""
+
+    def __init__(self, config: settings.EntrySettings) -> None:
+        self._config = config
+        self._now = clock.make_monotonic_clock()
+        self._inbox: queue.SimpleQueue[gateway.Event] = queue.SimpleQueue()
+        self._reports: queue.SimpleQueue[gateway.SendReport | None] = (
+            queue.SimpleQueue()
+        )
+        self._calls: dict[int, callers.Call] = {}
+        self._stopped = threading.Event()
+        self._cut = 0
+        router = routing.make_router(
+            ids.AvailabilityZone(config.availability_zone), random.Random()
+        )
+        self._gateway = gateway.make_gateway(_make_limits(config), router)
+        self._link = controllink.ControlLink(
+            ids.EntryId(config.entry), str(config.control)
+        )
+        self._watch = callers.CallerWatch(self._inbox.put)
+        timeouts = targets.Timeouts(
+            config.connect_timeout.total_seconds(),
+            config.target_silence_timeout.total_seconds(),
+        )
+        parts = callers.Parts(
+            config,
+            self._now,
+            self._inbox.put,
+            self._calls,
+            self._watch,
+            targets.TargetClient(timeouts, self._now),
+            self._link,
+            _observe,
+        )
+        self._server = callers.make_server(parts)
+
+    @property
+    def listen_address(self) -> str:
+        """HOST:PORT of the listener for callers."""
+        host, port = self._server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Listens and starts all tasks.
+
+        Raises:
+            OSError: An address cannot be bound.
+        """
+        self._server.prepare()
+        for name, task in (
+            ("owner", self._run_owner),
+            ("watch", self._watch.run),
+            ("sync", self._run_sync),
+            ("callers", self._server.serve),
+        ):
+            threading.Thread(
+                target=task, name=f"entry-{name}", daemon=True
+            ).start()
+
+    def drain(self) -> None:
+        """Starts the graceful shutdown."""
+        self._inbox.put(gateway.DrainRequested())
+
+    def wait(self) -> int:
+        """Waits for the end of the shutdown; returns the calls cut off."""
+        self._stopped.wait()
+        self._server.stop()
+        self._link.close()
+        return self._cut
+
+    def _run_owner(self) -> None:
+        try:
+            self._own()
+        except BaseException:
+            # Without the owner task every call would wait for ever.
+            _log.exception("owner task failed")
+            logging.shutdown()
+            os._exit(EXIT_FAILED)
+
+    def _own(self) -> None:
+        next_tick = self._now() + TICK
+        while True:
+            now = self._now()
+            if now >= next_tick:
+                self._step(gateway.Tick(), now)
+                next_tick = now + TICK
+            try:
+                wait = (next_tick - now).total_seconds()
+                event = self._inbox.get(timeout=max(0.0, wait))
+            except queue.Empty:
+                continue
+            self._step(event, self._now())
+
+    def _step(self, event: gateway.Event, now: datetime.timedelta) -> None:
+        actions = self._gateway.step(event, now)
+        if isinstance(event, gateway.CallEnded):
+            self._calls.pop(event.token, None)
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: gateway.Action) -> None:
+        match action:
+            case gateway.SendReport():
+                self._reports.put(action)
+            case gateway.Stop():
+                self._cut = action.cut
+                self._reports.put(None)
+                self._stopped.set()
+            case gateway.CancelAttempt():
+                self._calls[action.token].end_attempt(action.failure)
+            case _:
+                self._calls[action.token].actions.put(action)
+
+    def _ask_report(self) -> gateway.SendReport | None:
+        if self._stopped.is_set():
+            return None
+        self._inbox.put(gateway.ReportWanted())
+        return self._reports.get()
+
+    def _run_sync(self) -> None:
+        controllink.run_sync(
+            self._link, self._ask_report, self._inbox.put, self._stopped.wait
+        )
+
+
+def _observe(kind: str, outcome: str, seconds: float) -> None:
+    """Placeholder until metrics exist."""
+
+
+def _make_limits(config: settings.EntrySettings) -> gateway.Limits:
+    reserved = max(1, config.threads // RESERVED_THREADS_SHARE)
+    return gateway.Limits(
+        config.queue_limit,
+        min(config.max_streams, max(1, config.threads - reserved)),
+        max(1, config.threads - reserved),
+        config.drain_timeout,
+    )
+
+
+@app.default
+def run(
+    *,
+    settings_file: Annotated[
+        pathlib.Path, cyclopts.Parameter(name="--settings")
+    ],
+) -> int:
+    """Runs an entry process until SIGTERM.
+
+    Args:
+        settings_file: JSON settings.
+    """
+    try:
+        config = settings.load(settings_file, settings.EntrySettings)
+    except exceptions.FindingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+    logs.set_up(config.logging.level, config.logging.format, "entry")
+    try:
+        process = Entry(config)
+        process.start()
+    except OSError as error:
+        print(f"cannot listen: {error}", file=sys.stderr)
+        return EXIT_FAILED
+
+    def on_signal(number: int, frame: Any) -> None:
+        process.drain()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    print(f"ready {process.listen_address}", flush=True)
+    return EXIT_FAILED if process.wait() else EXIT_OK
+
+
+def main() -> None:
+    """Entry point of the program."""
+    try:
+        app(exit_on_error=False)
+    except cyclopts.CycloptsError:
+        sys.exit(EXIT_USAGE)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/quetzalgauge/exceptions.py
+++ b/src/quetzalgauge/exceptions.py
@@ -44,4 +44,12 @@
 
 
 class PeerError(QuetzalgaugeError):
-    """A peer or the control process could not be reached."""
+    """A peer or the control process did not answer."""
+
+
+class PeerUnreachableError(PeerError):
+    """There was no connection, so no byte of the call was sent."""
+
+
+class NotSentError(PlatformError):
+    """There was no connection, so no byte of a request was sent."""
--- a/src/quetzalgauge/gateway.py
+++ b/src/quetzalgauge/gateway.py
@@ -33,6 +33,9 @@
 # after this time costs one call to control.
 RESIDENCY_TIME = datetime.timedelta(seconds=60)
 MAX_RESUMES = 3
+# A restarted control process learns its targets one by one. For this time
+# after its first routes, those that it does not name yet are kept.
+ROUTE_GRACE = datetime.timedelta(seconds=3)
 # Keys claimed by this process whose requests never ran.
 UNUSED_KEY_LIMIT = 1000
 
@@ -219,6 +222,18 @@
     """Time has passed. Sent several times a second."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlLost:
+    """The control process does not answer; the last routes stay."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelsWanted:
+    """A caller lists models. The reply's value is the sorted names."""
+
+    reply: Callable[[list[str]], None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DumpWanted:
     """An operator wants the state. The reply's value is JSON data."""
@@ -238,6 +253,8 @@
     | ReportWanted
     | DrainRequested
     | Tick
+    | ControlLost
+    | ModelsWanted
     | DumpWanted
 )
 
@@ -461,7 +478,11 @@
         ] = {}
         self._models: dict[ids.ModelName, Model] = {}
         self._adapters: dict[ids.AdapterName, ids.ModelName] = {}
+        self._names: list[str] | None = None
         self._routes_at = _ZERO
+        self._grace_pending = False
+        self._grace_until: datetime.timedelta | None = None
+        self._latest: RoutesReceived | None = None
         self._routes_version = 0
         self._catalog_version = 0
         self._streams = 0
@@ -494,10 +515,6 @@
         """Number of requests in queues."""
         return sum(len(queue) for queue in self._queues.values())
 
-    def list_models(self) -> list[str]:
-        """Returns the names of all models and adapters."""
-        return sorted([*self._models, *self._adapters])
-
     def step(self, event: Event, now: datetime.timedelta) -> list[Action]:
         """Takes one event and returns the actions to carry out."""
         self._marks.expire(now)
@@ -906,6 +923,8 @@
         assert failure is not None
         assert call.target is not None
         call.failures.append(failure)
+        if failure is retries.Failure.ABANDONED:
+            call.caller_gone = True
         resumable = failure in (retries.Failure.CUT, retries.Failure.SILENT)
         if (
             resumable
@@ -1116,29 +1135,74 @@
         self, event: RoutesReceived, now: datetime.timedelta
     ) -> list[Action]:
         self._log_reachable = event.log_reachable
+        # A control process that has just started knows neither catalog nor
+        # routes and says so with version 0.
+        if event.catalog_version > 0:
+            self._update_catalog(event)
+            self._catalog_version = event.catalog_version
+        if event.routes_version <= 0:
+            return []
         self._routes_version = event.routes_version
-        self._catalog_version = event.catalog_version
-        self._update_catalog(event)
-        if event.service_targets is not None:
-            # A service stays known when its last target has gone, so that
-            # callers learn that it is away and not that it never existed.
-            for targets in self._service_targets.values():
-                targets.clear()
-            for one in event.service_targets:
-                self._service_targets.setdefault(one.service, []).append(one)
         if event.replicas is None:
             return []
+        if self._grace_pending:
+            self._grace_pending = False
+            self._grace_until = now + ROUTE_GRACE
+        self._latest = event
+        return self._apply_routes(event, now)
+
+    def _apply_routes(
+        self, event: RoutesReceived, now: datetime.timedelta
+    ) -> list[Action]:
+        old_replicas = self._replicas
+        old_targets = self._service_targets
         self._routes_at = now
-        self._replicas.clear()
-        for replica in event.replicas:
+        self._replicas = {}
+        # A service stays known when its last target has gone, so that
+        # callers learn that it is away and not that it never existed.
+        self._service_targets = {service: [] for service in old_targets}
+        for replica in event.replicas or ():
             self._replicas.setdefault(replica.servable, []).append(replica)
+        for one in event.service_targets or ():
+            self._service_targets.setdefault(one.service, []).append(one)
+        if self._grace_until is not None:
+            self._keep_missing(old_replicas, old_targets)
         actions: list[Action] = []
         for servable in list(self._queues):
             actions += self._pump(servable, now)
             actions += self._refuse_hopeless(servable, now)
         return actions
 
+    def _keep_missing(
+        self,
+        replicas: dict[routing.Servable, list[routing.Replica]],
+        targets: dict[ids.ServiceName, list[routing.ServiceTarget]],
+    ) -> None:
+        for servable, old in replicas.items():
+            new = self._replicas.setdefault(servable, [])
+            known = {replica.target for replica in new}
+            new += [one for one in old if one.target not in known]
+        for service, old_targets in targets.items():
+            present = self._service_targets.setdefault(service, [])
+            names = {one.target for one in present}
+            present += [one for one in old_targets if one.target not in names]
+
+    def _end_grace(self, now: datetime.timedelta) -> list[Action]:
+        if self._grace_until is None or now < self._grace_until:
+            return []
+        self._grace_until = None
+        return self._apply_routes(self._latest, now) if self._latest else []
+
+    def _control_lost(
+        self, event: ControlLost, now: datetime.timedelta
+    ) -> list[Action]:
+        self._log_reachable = False
+        self._grace_pending = True
+        return []
+
     def _update_catalog(self, event: RoutesReceived) -> None:
+        if event.catalog_complete or event.models or event.adapters:
+            self._names = None
         if event.catalog_complete:
             self._models.clear()
             self._adapters.clear()
@@ -1185,7 +1249,7 @@
         ]
 
     def _tick(self, event: Tick, now: datetime.timedelta) -> list[Action]:
-        actions: list[Action] = []
+        actions = self._end_grace(now)
         for servable, queue in list(self._queues.items()):
             actions += self._pump(servable, now)
             actions += self._refuse_hopeless(servable, now)
@@ -1217,6 +1281,14 @@
         self._stopped = True
         return [Stop(len(self._calls))]
 
+    def _models_wanted(
+        self, event: ModelsWanted, now: datetime.timedelta
+    ) -> list[Action]:
+        if self._names is None:
+            self._names = sorted([*self._models, *self._adapters])
+        event.reply(self._names)
+        return []
+
     def _dump_wanted(
         self, event: DumpWanted, now: datetime.timedelta
     ) -> list[Action]:
@@ -1301,6 +1373,8 @@
     ReportWanted: Gateway._report_wanted,
     DrainRequested: Gateway._drain_requested,
     Tick: Gateway._tick,
+    ControlLost: Gateway._control_lost,
+    ModelsWanted: Gateway._models_wanted,
     DumpWanted: Gateway._dump_wanted,
 }
 
--- a/src/quetzalgauge/settings.py
+++ b/src/quetzalgauge/settings.py
@@ -96,8 +96,10 @@
 
     certificate: FilePath = _described("Certificate chain.")
     key: FilePath = _described("Private key of the certificate.")
-    authority: FilePath = _described(
-        "Certificates of the authorities that the other side must be signed by."
+    authority: FilePath | None = _described(
+        "Certificate authority that must have signed the other side's"
+        " certificate; null: the other side needs none.",
+        default=None,
     )
 
 
@@ -339,6 +341,17 @@
 }
 
 
+def _check_peer_authority(
+    value: Any, result: Any
+) -> list[tuple[findings.Path, str]]:
+    if not isinstance(result, ControlSettings) or result.peer_tls is None:
+        return []
+    if result.peer_tls.authority is not None:
+        return []
+    # Peers check each other, so that nobody else can hand over state.
+    return [(("peer_tls", "authority"), "missing key")]
+
+
 def _check_deadlines(_: Any, result: Any) -> list[tuple[findings.Path, str]]:
     if not isinstance(result, EntrySettings):
         return []
@@ -367,6 +380,7 @@
 _CHECKS: tuple[_Check, ...] = (
     _check_ports,
     _check_tls,
+    _check_peer_authority,
     _check_deadlines,
     _check_timeouts,
 )
--- /dev/null
+++ b/src/quetzalgauge/streams.py
@@ -0,0 +1,106 @@
+"""Server-sent events of a target's stream: whole events and the end marker."""
+
+import re
+
+# A target that never ends an event must not fill the memory.
+MAX_EVENT_BYTES = 1_048_576
+
+_END_MARKER = re.compile(rb"(?:\A|\n)data: ?\[DONE\]\r?\n\r?\n", re.DOTALL)
+_ID_LINE = re.compile(rb"^id: ?([^\r\n]*)\r?$", re.MULTILINE)
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
+
+
+class StreamError(ValueError):
+    """The target's stream breaks the protocol."""
+
+
+class EventFilter:
+    """Passes on whole events up to and including the end marker.
+
+    An event that is cut in the middle is never passed on, so an error event
+    can follow at any time.
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self._with_id = b""
+        self._skip_until: int | None = None
+        self._done = False
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the end marker was passed on."""
+        return self._done
+
+    @property
+    def last_event(self) -> str:
+        """The id of the last event passed on, empty if there is none."""
+        found = _ID_LINE.findall(self._with_id)
+        return found[-1].decode("latin-1") if found else ""
+
+    def resume(self) -> None:
+        """Starts with a new answer that goes on after `last_event`.
+
+        Events up to that one are dropped if the target repeats them.
+        """
+        self._rest = b""
+        last = self.last_event
+        self._skip_until = int(last) if last.isdecimal() else None
+
+    def feed(self, data: bytes) -> bytes:
+        """Takes bytes from the target and returns whole events.
+
+        Raises:
+            StreamError: An event is too long, or a resumed stream has a gap.
+        """
+        if self._done:
+            return b""
+        if self._rest:
+            data = self._rest + data
+        # Most reads end with an event.
+        end = len(data) if data.endswith(b"\n\n") else _last_end(data)
+        if end < len(data):
+            self._rest = data[end:]
+            data = data[:end]
+            if len(self._rest) > MAX_EVENT_BYTES:
+                raise StreamError("an event is too long")
+        else:
+            self._rest = b""
+        if self._skip_until is not None:
+            data = self._skip(data)
+        if b"[DONE]" in data:
+            marker = _END_MARKER.search(data)
+            if marker is not None:
+                self._done = True
+                return data[: marker.end()]
+        if b"id:" in data:
+            self._with_id = data
+        return data
+
+    def _skip(self, data: bytes) -> bytes:
+        """Drops repeated events and checks that none is missing."""
+        place = 0
+        while self._skip_until is not None and place < len(data):
+            match = _EVENT_END.search(data, place)
+            end = match.end() if match else len(data)
+            found = _ID_LINE.search(data, place, end)
+            number = found.group(1) if found else b""
+            if not number.isdigit():
+                # The end marker and comments may have no id.
+                self._skip_until = None
+            elif int(number) <= self._skip_until:
+                place = end
+            elif int(number) == self._skip_until + 1:
+                self._skip_until = None
+            else:
+                raise StreamError("events are missing after a resume")
+        return data[place:]
+
+
+def _last_end(data: bytes) -> int:
+    """Returns the place after the last whole event."""
+    plain = data.rfind(b"\n\n")
+    carriage = data.rfind(b"\r\n\r\n")
+    return max(
+        plain + 2 if plain >= 0 else 0, carriage + 4 if carriage >= 0 else 0
+    )
