--- a/src/quetzalgauge/callers.py
+++ b/src/quetzalgauge/callers.py
@@ -770,8 +770,6 @@
     request_queue_size = BACKLOG
     timeout = CALLER_TIMEOUT_SECONDS
     keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
-    # Several entry processes of an instance share the caller port.
-    reuse_port = True
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
@@ -837,6 +835,8 @@
         _Gateway,
         minthreads=config.threads,
         maxthreads=config.threads,
+        # Several entry processes of an instance share the caller port.
+        reuse_port=config.listen.port != 0,
     )
     if config.listen_tls is not None:
         server.ssl_adapter = _make_ssl_adapter(config.listen_tls)
