--- a/src/quetzalgauge/standin.py
+++ b/src/quetzalgauge/standin.py
@@ -121,7 +121,7 @@
     part.server.start()
     if announce is not None:
         announce()
-    print(f"ready listen={part.server.address}", flush=True)
+    print(f"ready {part.server.address}", flush=True)
     stop.wait()
     part.server.stop()
     return _DONE
--- a/src/quetzalgauge/standin_engine.py
+++ b/src/quetzalgauge/standin_engine.py
@@ -372,7 +372,7 @@
         return "stopping"
 
     def _order_unload(self, _order_id: str, order: dict[str, Any]) -> int:
-        key = (str(order["model"]), str(order["version"]))
+        key = self._ordered_key(order)
         model = self._models.get(key)
         if model is None:
             return 200
@@ -403,7 +403,7 @@
             self._cached[oldest] = "disk"
 
     def _order_load_adapter(self, order_id: str, order: dict[str, Any]) -> int:
-        key, model = self._find(str(order["model"]), str(order["version"]))
+        key, model = self._find(*self._ordered_key(order))
         name, size = str(order["adapter"]), int(order["adapter_bytes"])
         if name in model.adapters:
             return 200
@@ -431,7 +431,7 @@
     def _order_unload_adapter(
         self, _order_id: str, order: dict[str, Any]
     ) -> int:
-        key = (str(order["model"]), str(order["version"]))
+        key = self._ordered_key(order)
         if key in self._models:
             self._models[key].adapters.pop(str(order["adapter"]), None)
         return 200
@@ -483,6 +483,14 @@
             200, _make_answer(request_id, name, generation), headers
         )
 
+    def _ordered_key(self, order: dict[str, Any]) -> _ModelKey:
+        """Returns the model of an order; the version may be left out."""
+        name, version = str(order["model"]), str(order.get("version", ""))
+        for key in self._models:
+            if key[0] == name and version in ("", key[1]):
+                return key
+        return name, version
+
     def _find(self, name: str, version: str) -> tuple[_ModelKey, _Model]:
         for key, model in self._models.items():
             is_wanted = key[0] == name and version in ("", key[1])
--- a/src/quetzalgauge/standin_http.py
+++ b/src/quetzalgauge/standin_http.py
@@ -216,13 +216,14 @@
     def apply(self, handle: Handler, request: Request) -> Response:
         faults = self.get()
         if not _is_affected(faults, request):
-            return handle(request)
+            return _with_request_id(handle(request), request)
         if self._take("silent"):
             self._stay_silent(request)
         if faults.outage:
-            return make_json_response(503, {"code": "outage"})
+            response = make_json_response(503, {"code": "outage"})
+            return _with_request_id(response, request)
         self._stopping.wait(faults.slow_s)
-        response = handle(request)
+        response = _with_request_id(handle(request), request)
         if self._take("lost_acknowledgements"):
             _drop(response)
         self._stopping.wait(faults.late_s)
@@ -252,6 +253,14 @@
         _disconnect()
 
 
+def _with_request_id(response: Response, request: Request) -> Response:
+    request_id = request.headers.get("x-request-id")
+    if request_id is None:
+        return response
+    headers = {"X-Request-Id": request_id, **response.headers}
+    return dataclasses.replace(response, headers=headers)
+
+
 def _is_affected(faults: Faults, request: Request) -> bool:
     if faults.method and faults.method != request.method:
         return False
--- a/src/quetzalgauge/standin_service.py
+++ b/src/quetzalgauge/standin_service.py
@@ -60,7 +60,6 @@
         self._server.stopping.wait(self._config.work_time.total_seconds())
         with self._lock:
             self._running -= 1
-        request_id = request.headers.get("x-request-id", "")
         answer = {
             "target": self._config.target,
             "method": request.method,
@@ -68,10 +67,9 @@
             "booking": booking,
             "runs": runs,
             "body_bytes": len(request.body),
-            "request_id": request_id,
+            "request_id": request.headers.get("x-request-id", ""),
         }
-        headers = {"X-Request-Id": request_id} if request_id else {}
-        return standin_http.make_json_response(200, answer, headers)
+        return standin_http.make_json_response(200, answer)
 
     def _find_booking(self, request: standin_http.Request) -> str:
         try:
