--- a/src/quetzalgauge/ctl.py
+++ b/src/quetzalgauge/ctl.py
@@ -84,6 +84,7 @@
 @app.command
 def submit(
     file: pathlib.Path,
+    /,
     *,
     connection: Connection,
     wait: float = _DEFAULT_WAIT_SECONDS,
@@ -93,8 +94,9 @@
     The ticket is checked first. After a lost answer it is sent again until
     its outcome is known: the same ticket twice has one effect.
 
-    Example:
-        quetzalgauge-ctl submit ticket.json --control 127.0.0.1:9001
+    For example:
+
+    `quetzalgauge-ctl submit ticket.json --control 127.0.0.1:9001`
 
     Args:
         file: The ticket, JSON with comments.
@@ -111,14 +113,17 @@
 @app.command
 def status(
     ticket: int | None = None,
+    /,
     *,
     connection: Connection,
 ) -> int:
     """Show whether a process is ready, or what became of a ticket.
 
-    Examples:
-        quetzalgauge-ctl status --control 127.0.0.1:9001
-        quetzalgauge-ctl status 17 --control 127.0.0.1:9001
+    For example:
+
+    `quetzalgauge-ctl status --control 127.0.0.1:9001`
+
+    `quetzalgauge-ctl status 17 --control 127.0.0.1:9001`
 
     Args:
         ticket: Number of a ticket.
@@ -140,6 +145,7 @@
 @app.command
 def check(
     file: pathlib.Path,
+    /,
     *,
     kind: Literal["auto", "ticket", "entry", "control"] = "auto",
     json_output: Annotated[
@@ -148,9 +154,11 @@
 ) -> int:
     """Check a ticket or settings file offline and print every finding.
 
-    Examples:
-        quetzalgauge-ctl check ticket.json
-        quetzalgauge-ctl check entry.json --kind entry
+    For example:
+
+    `quetzalgauge-ctl check ticket.json`
+
+    `quetzalgauge-ctl check entry.json --kind entry`
 
     Args:
         file: The file, JSON with comments.
@@ -176,8 +184,9 @@
 def dump(*, connection: Connection) -> int:
     """Print the state of a process as JSON.
 
-    Example:
-        quetzalgauge-ctl dump --control 127.0.0.1:9001
+    For example:
+
+    `quetzalgauge-ctl dump --control 127.0.0.1:9001`
 
     Args:
         connection: The process.
@@ -193,9 +202,11 @@
 
     A drained target gets no new work until it is restarted.
 
-    Examples:
-        quetzalgauge-ctl drain --control 127.0.0.1:9001
-        quetzalgauge-ctl drain --target lm-1 --control 127.0.0.1:9001
+    For example:
+
+    `quetzalgauge-ctl drain --control 127.0.0.1:9001`
+
+    `quetzalgauge-ctl drain --target lm-1 --control 127.0.0.1:9001`
 
     Args:
         connection: The process.
@@ -393,7 +404,7 @@
 def main() -> NoReturn:
     """Entry point of quetzalgauge-ctl."""
     try:
-        result = app(exit_on_error=False)
+        result = app(sys.argv[1:], exit_on_error=False)
     except cyclopts.CycloptsError:
         result = WRONG_USAGE
     except exceptions.FindingsError as error:
--- a/src/quetzalgauge/loaddriver.py
+++ b/src/quetzalgauge/loaddriver.py
@@ -335,9 +335,9 @@
 
     Exit status 0 if every answer was whole or an honest refusal, else 1.
 
-    Example:
-        quetzalgauge-standin load --entries 127.0.0.1:8001 --entries
-        127.0.0.1:8002 --names palomar-report --kind bursts --count 40
+    For example:
+
+    `quetzalgauge-standin load --entries 127.0.0.1:8001 --names m --json`
 
     Args:
         entries: HOST:PORT of an entry process; repeat it for more.
--- a/src/quetzalgauge/standin.py
+++ b/src/quetzalgauge/standin.py
@@ -154,7 +154,9 @@
     """Entry point of quetzalgauge-standin."""
     logs.set_up("INFO", "text", "standin")
     try:
-        status = app()
+        status = app(sys.argv[1:], exit_on_error=False)
+    except cyclopts.CycloptsError:
+        status = _WRONG_USAGE
     except exceptions.FindingsError as error:
         print(error, file=sys.stderr)
         status = _WRONG_USAGE
