--- a/src/quetzalgauge/leases.py
+++ b/src/quetzalgauge/leases.py
@@ -277,9 +277,7 @@
             self._renew_sent = now
             self._ctx.propose(records.Renew())
 
-    def _settle(
-        self, target: ids.TargetId, number: ids.FencingNumber
-    ) -> None:
+    def _settle(self, target: ids.TargetId, number: ids.FencingNumber) -> None:
         """Closes an own former number once none of its orders is in flight."""
         ctx = self._ctx
         state = ctx.ledger.targets.get(target)
@@ -288,9 +286,7 @@
         in_use = state.holder == ctx.writer and state.fencing_number == number
         if in_use or ctx.orders.in_flight(target, fencing_number=number):
             return
-        ctx.propose(
-            records.Close(target, number, records.CloseProof.SETTLED)
-        )
+        ctx.propose(records.Close(target, number, records.CloseProof.SETTLED))
 
     def _review_target(
         self, target: ids.TargetId, now: datetime.timedelta
--- a/src/quetzalgauge/loopback.py
+++ b/src/quetzalgauge/loopback.py
@@ -90,7 +90,7 @@
                 stdout=subprocess.PIPE,
                 stderr=errors,
                 text=True,
-                env=_environment(),
+                env=make_environment(),
             )
         self._lines = queue.Queue()
         threading.Thread(
@@ -180,7 +180,8 @@
             self._values[key] = make_address(address)
 
 
-def _environment() -> dict[str, str]:
+def make_environment() -> dict[str, str]:
+    """Returns the environment in which the programs find the package."""
     source = pathlib.Path(__file__).resolve().parent.parent
     return {**os.environ, "PYTHONPATH": str(source), "PYTHONUNBUFFERED": "1"}
 
--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -347,9 +347,7 @@
                 return target, slot
         return None
 
-    def _is_usable(
-        self, target: ids.TargetId, now: datetime.timedelta
-    ) -> bool:
+    def _is_usable(self, target: ids.TargetId, now: datetime.timedelta) -> bool:
         """Whether the target can take a load from its holder now."""
         ctx = self._ctx
         item = ctx.membership.targets.get(target)
@@ -695,7 +693,8 @@
         idle = [
             reservations[model.slot]
             for model in status.models
-            if model.slot in reservations and self._may_evict(target, model, now)
+            if model.slot in reservations
+            and self._may_evict(target, model, now)
         ]
         if sum(item.memory_bytes for item in idle) < wanted:
             return
