--- a/src/quetzalgauge/context.py
+++ b/src/quetzalgauge/context.py
@@ -82,6 +82,9 @@
     orders: orders_module.Orders
     reading: Reading = dataclasses.field(default_factory=Reading)
     is_draining: bool = False
+    # Whether the configuration was read to its end once. Before that, a slot
+    # that the catalog lacks may only be unknown.
+    is_config_read: bool = False
 
     @property
     def zone(self) -> ids.AvailabilityZone:
--- a/src/quetzalgauge/demand.py
+++ b/src/quetzalgauge/demand.py
@@ -76,10 +76,6 @@
         rows = self._rows.get(servable, {})
         return any(row.demand.waiting for row in rows.values())
 
-    def is_model_waiting(self, model: ids.ModelName) -> bool:
-        """Whether a request waits for any version of a model."""
-        return any(servable.model == model for servable in self._rows)
-
     def requests(self, servable: Servable) -> int:
         """Returns the number of requests that wait or run."""
         rows = self._rows.get(servable, {})
--- a/src/quetzalgauge/leases.py
+++ b/src/quetzalgauge/leases.py
@@ -55,6 +55,7 @@
         self._statuses: dict[
             ids.TargetId, tuple[messages.TargetStatus, datetime.timedelta]
         ] = {}
+        self._marks: dict[ids.TargetId, int] = {}
         self._renew_sent: datetime.timedelta | None = None
         self._confirmed: datetime.timedelta = _LONG_AGO
         self._claim_sent: dict[ids.TargetId, datetime.timedelta] = {}
@@ -101,6 +102,10 @@
         entry = self._statuses.get(target)
         return None if entry is None else entry[0]
 
+    def status_mark(self, target: ids.TargetId) -> int | None:
+        """Returns the orders' mark when the latest status was asked for."""
+        return self._marks.get(target)
+
     def answered_lately(
         self, target: ids.TargetId, now: datetime.timedelta
     ) -> bool:
@@ -230,9 +235,18 @@
         target: ids.TargetId,
         status: messages.TargetStatus,
         asked: datetime.timedelta,
+        mark: int,
     ) -> None:
-        """Notes a target's status and when it was asked for."""
+        """Notes a target's status.
+
+        Args:
+            target: The target.
+            status: Its report.
+            asked: When it was asked for the report.
+            mark: The mark of the orders at that time.
+        """
         self._statuses[target] = (status, asked)
+        self._marks[target] = mark
 
     # ---- Reviews -----------------------------------------------------------
 
--- a/src/quetzalgauge/membership.py
+++ b/src/quetzalgauge/membership.py
@@ -33,6 +33,7 @@
         self._ended: collections.OrderedDict[Incarnation, None] = (
             collections.OrderedDict()
         )
+        self._changes = 0
         self._raw: tuple[messages.ListedInstance, ...] | None = None
         self._last_listed: datetime.timedelta | None = None
         self._engines: dict[ids.AvailabilityZone, list[ids.TargetId]] = {}
@@ -56,6 +57,15 @@
         """All target incarnations that are known to be leaving."""
         return self._leaving
 
+    @property
+    def changes(self) -> int:
+        """Grows with each change of the list or of the leaving targets."""
+        return self._changes
+
+    def is_absent(self, target: ids.TargetId) -> bool:
+        """Whether the list showed a target once and no longer does."""
+        return target in self._absent_since
+
     def engines(self, zone: ids.AvailabilityZone) -> list[ids.TargetId]:
         """Returns the listed model engines of a zone, by name."""
         return self._engines.get(zone, [])
@@ -80,6 +90,7 @@
         if instances == self._raw:
             return False
         self._raw = instances
+        self._changes += 1
         before = set(self._targets) | set(self._systems)
         ours = [item for item in instances if item.region == self._region]
         self._targets = {
@@ -140,6 +151,7 @@
         if key in self._leaving or key in self._ended:
             return False
         self._leaving.add(key)
+        self._changes += 1
         return True
 
     def is_leaving(self, target: ids.TargetId) -> bool:
--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -1,7 +1,6 @@
 """Which slots to reserve, load, unload and move."""
 
 from collections.abc import Iterator
-import dataclasses
 import datetime
 import logging
 import math
@@ -44,14 +43,6 @@
 _Place = tuple[ids.TargetId, ids.SlotId]
 
 
-@dataclasses.dataclass(slots=True)
-class _Unload:
-    """An announced unload. A forced one is not cancelled by demand."""
-
-    since: datetime.timedelta
-    is_forced: bool
-
-
 class Placement:
     """Decides on the slots of the targets that this process holds."""
 
@@ -66,8 +57,8 @@
         self._leases = leases
         self._views = views
         self._demands = demands
-        self._marks: dict[ids.TargetId, int] = {}
-        self._unloads: dict[_Place, _Unload] = {}
+        # Since when a slot is announced as unloading.
+        self._unloads: dict[_Place, datetime.timedelta] = {}
         self._used: dict[_Place, datetime.timedelta] = {}
         self._retry: dict[_Place, datetime.timedelta] = {}
         self._started: dict[_Place, datetime.timedelta] = {}
@@ -90,18 +81,9 @@
         self,
         target: ids.TargetId,
         status: messages.TargetStatus,
-        mark: int,
         now: datetime.timedelta,
     ) -> None:
-        """Notes a status.
-
-        Args:
-            target: The target.
-            status: Its report.
-            mark: The mark of the orders when the report was asked for.
-            now: The time.
-        """
-        self._marks[target] = mark
+        """Notes a status that `leases` has noted already."""
         loaded = set()
         for model in status.models:
             place = (target, model.slot)
@@ -117,6 +99,11 @@
         for place in [p for p in self._used if p[0] == target]:
             if place[1] not in loaded:
                 del self._used[place]
+        for place in [p for p in self._started if p[0] == target]:
+            # An accepted load that the status does not show has failed.
+            if self._is_status_after_orders(*place):
+                del self._started[place]
+                self._retry[place] = now + RETRY
 
     def answer_order(
         self,
@@ -164,12 +151,13 @@
         loaded = {model.slot: model for model in status.models}
         for slot, model in loaded.items():
             reservation = reservations.get(slot)
-            if reservation is None or reservation.version != model.version:
-                self._unload(target, model, True, now)
-            elif self._must_leave(target, reservation, now):
-                self._unload(target, model, True, now)
-            elif self._is_idle(target, model, status, now):
-                self._unload(target, model, False, now)
+            if (
+                reservation is None
+                or reservation.version != model.version
+                or self._must_leave(target, reservation, now)
+                or self._is_idle(target, model, status, now)
+            ):
+                self._unload(target, model, now)
             else:
                 self._unloads.pop((target, slot), None)
         for slot, reservation in list(reservations.items()):
@@ -197,7 +185,7 @@
             return
         if now - self._reserved_at < RESERVE_INTERVAL:
             return
-        mark = (self._changes, ctx.membership.changes, ctx.catalog.changes)
+        mark = (self._changes, ctx.membership.changes, ctx.catalog.version)
         is_due = now - self._reserved_at >= RESERVE_REFRESH
         if mark == self._reserved_mark and not is_due:
             return
@@ -463,7 +451,9 @@
         self, target: ids.TargetId, slot: ids.SlotId
     ) -> bool:
         """Whether the status shows the effect of every answered order."""
-        mark = self._marks.get(target, -1)
+        mark = self._leases.status_mark(target)
+        if mark is None:
+            return False
         return not self._ctx.orders.changed_since(target, slot, mark)
 
     def _takes_share(self, now: datetime.timedelta) -> bool:
@@ -524,9 +514,12 @@
         """Yields the zone's slots without reservation, likely ones first."""
         ctx = self._ctx
         rows = []
+        other_versions = self._models_wanted_otherwise()
         for model, spec, least, most in plan_module.of_zone(
             ctx.catalog, ctx.zone
         ):
+            if model in other_versions:
+                continue
             servable = demand_module.Servable(model, spec.version)
             wanted = self._demands.last_wanted(servable) or _LONG_AGO
             for index in range(most):
@@ -538,6 +531,23 @@
         for _, slot, spec, is_kept in rows:
             yield slot, spec, is_kept
 
+    def _models_wanted_otherwise(self) -> set[ids.ModelName]:
+        """Returns models of which only another than the default is wanted.
+
+        Demand places them; an advance reservation would undo that.
+        """
+        models = set()
+        for servable in self._demands.waiting():
+            default = plan_module.default_spec(
+                self._ctx.catalog, servable.model
+            )
+            if default is None or default.version == servable.version:
+                continue
+            usual = demand_module.Servable(servable.model, default.version)
+            if not self._demands.is_waiting(usual):
+                models.add(servable.model)
+        return models
+
     def _best_free(
         self,
         slot: ids.SlotId,
@@ -760,7 +770,7 @@
             return True
         if self._evicted.get((target, slot), _LONG_AGO) > now:
             return True
-        if not ctx.catalog.is_known:
+        if not ctx.is_config_read:
             return False
         most = plan_module.max_replicas(
             ctx.catalog, slot.model, slot.availability_zone
@@ -834,20 +844,15 @@
         self,
         target: ids.TargetId,
         model: messages.ModelStatus,
-        is_forced: bool,
         now: datetime.timedelta,
     ) -> None:
         """Announces an unload, and orders it once everyone could know."""
         ctx = self._ctx
         place = (target, model.slot)
-        unload = self._unloads.get(place)
-        if unload is None:
-            self._unloads[place] = _Unload(now, is_forced)
-            return
-        unload.is_forced |= is_forced
+        since = self._unloads.setdefault(place, now)
         if model.state is messages.ReplicaState.UNLOADING:
             return
-        if now - unload.since < UNLOAD_NOTICE:
+        if now - since < UNLOAD_NOTICE:
             return
         if ctx.orders.awaits_answer(target, model.slot):
             return
@@ -898,6 +903,8 @@
             return False
         number = ctx.ledger.targets[target].fencing_number
         ctx.propose(records.Release(target, number, slot))
+        self._evicted.pop((target, slot), None)
+        self._retry.pop((target, slot), None)
         return True
 
 
