--- a/src/quetzalgauge/context.py
+++ b/src/quetzalgauge/context.py
@@ -63,7 +63,6 @@
     Attributes:
         propose: Queues a record for the decision stream, unless an equal one
             is queued or outstanding already.
-        is_proposed: Whether an equal record is queued or outstanding.
         proposed: The records of own proposals whose outcome is unknown.
         act: Adds an action to the result of the present step.
         ledger: The folded decisions; replaced when a snapshot is restored.
@@ -102,6 +101,10 @@
         """Adds an action that writes a log line."""
         self.act(messages.WriteLog(part, level, text, fields))
 
+    def is_proposed(self, body: records.Body) -> bool:
+        """Whether an equal record has been proposed without known outcome."""
+        return body in self.proposed
+
     def holds(self, target: ids.TargetId) -> bool:
         """Whether this process holds the lease, as far as it knows."""
         state = self.ledger.targets.get(target)
--- a/src/quetzalgauge/demand.py
+++ b/src/quetzalgauge/demand.py
@@ -33,9 +33,9 @@
     def __init__(self) -> None:
         self._rows: dict[Servable, dict[str, _Row]] = {}
         # When a model was last wanted; the most recent one stands last.
-        self._wanted: collections.OrderedDict[
-            Servable, datetime.timedelta
-        ] = collections.OrderedDict()
+        self._wanted: collections.OrderedDict[Servable, datetime.timedelta] = (
+            collections.OrderedDict()
+        )
 
     def put(self, demand: Any, is_own: bool, now: datetime.timedelta) -> None:
         """Notes one ttypes.Demand.
--- a/src/quetzalgauge/exchange.py
+++ b/src/quetzalgauge/exchange.py
@@ -1,6 +1,7 @@
 """What control processes tell each other."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import datetime
 from typing import Any
 
@@ -43,7 +44,7 @@
         views: views_module.Views,
         next_offsets: Callable[[], dict[ids.StreamName, ids.Offset]],
         records_from: Callable[
-            [ids.StreamName, ids.Offset], list[tuple[ids.Offset, bytes]]
+            [ids.StreamName, ids.Offset], Sequence[tuple[ids.Offset, bytes]]
         ],
     ) -> None:
         self._ctx = ctx
@@ -164,6 +165,8 @@
     def _merge(self, digest: Any, states: list[Any]) -> None:
         membership = self._ctx.membership
         for state in states:
+            if membership.is_absent(ids.TargetId(state.target)):
+                continue
             if self._views.merge(state):
                 self.add_news(ids.TargetId(state.target))
         for item in digest.leaving:
@@ -232,11 +235,17 @@
                     messages.FetchSnapshot(address, ids.StreamName(stream))
                 )
 
+    def pick_peer(self, now: datetime.timedelta) -> str | None:
+        """Returns the address of a random peer, near ones first."""
+        near, far = self._peers(now)
+        peers = near or far
+        return self._ctx.random.choice(peers) if peers else None
+
     def _peers(self, now: datetime.timedelta) -> tuple[list[str], list[str]]:
         """Returns the addresses of peers in this zone and in others."""
         ctx = self._ctx
-        near = []
-        far = []
+        near: list[str] = []
+        far: list[str] = []
         for instance, item in ctx.membership.systems.items():
             if instance == ctx.writer.instance:
                 continue
--- a/src/quetzalgauge/leases.py
+++ b/src/quetzalgauge/leases.py
@@ -110,8 +110,17 @@
         self, target: ids.TargetId, now: datetime.timedelta
     ) -> bool:
         """Whether the target answered a status request in the last seconds."""
+        return self.answered_within(target, ANSWER_VALID, now)
+
+    def answered_within(
+        self,
+        target: ids.TargetId,
+        limit: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Whether the latest status of a target is younger than a limit."""
         entry = self._statuses.get(target)
-        return entry is not None and now - entry[1] < ANSWER_VALID
+        return entry is not None and now - entry[1] < limit
 
     def is_lapsed(self, target: ids.TargetId, now: datetime.timedelta) -> bool:
         """Whether no renewal of a held lease was seen for its duration."""
@@ -291,9 +300,7 @@
             self._renew_sent = now
             self._ctx.propose(records.Renew())
 
-    def _settle(
-        self, target: ids.TargetId, number: ids.FencingNumber
-    ) -> None:
+    def _settle(self, target: ids.TargetId, number: ids.FencingNumber) -> None:
         """Closes an own former number once none of its orders is in flight."""
         ctx = self._ctx
         state = ctx.ledger.targets.get(target)
@@ -302,9 +309,7 @@
         in_use = state.holder == ctx.writer and state.fencing_number == number
         if in_use or ctx.orders.in_flight(target, fencing_number=number):
             return
-        ctx.propose(
-            records.Close(target, number, records.CloseProof.SETTLED)
-        )
+        ctx.propose(records.Close(target, number, records.CloseProof.SETTLED))
 
     def _review_target(
         self, target: ids.TargetId, now: datetime.timedelta
--- a/src/quetzalgauge/membership.py
+++ b/src/quetzalgauge/membership.py
@@ -64,7 +64,7 @@
 
     def is_absent(self, target: ids.TargetId) -> bool:
         """Whether the list showed a target once and no longer does."""
-        return target in self._absent_since
+        return target in self._absent_since and target in self._seen
 
     def engines(self, zone: ids.AvailabilityZone) -> list[ids.TargetId]:
         """Returns the listed model engines of a zone, by name."""
@@ -105,6 +105,8 @@
         }
         present = set(self._targets) | set(self._systems)
         self._seen |= present
+        if len(self._seen) > len(present) + _ENDED_LIMIT:
+            self._seen = set(present)
         for name in before - present:
             self._absent_since[name] = now
         for name in present:
@@ -182,9 +184,7 @@
         """Notes a failure to connect to a target."""
         self._suspects[target] = now + SUSPECT_TIME
 
-    def is_suspect(
-        self, target: ids.TargetId, now: datetime.timedelta
-    ) -> bool:
+    def is_suspect(self, target: ids.TargetId, now: datetime.timedelta) -> bool:
         """Whether a connection to the target failed in the last seconds."""
         until = self._suspects.get(target)
         if until is None:
--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -19,7 +19,7 @@
 # Peers get the news at once and their entries within one long poll; twice
 # that, with a margin for a lost message that the exchange repeats.
 UNLOAD_NOTICE = datetime.timedelta(seconds=2)
-# Load reports lag by about a second, so a shorter pause is no proof of idleness.
+# Load reports lag by about a second, so a shorter pause proves no idleness.
 MIN_IDLE = datetime.timedelta(seconds=5)
 # A load or an unload that was refused or got lost is tried again after this.
 RETRY = datetime.timedelta(seconds=1)
@@ -335,9 +335,7 @@
                 return target, slot
         return None
 
-    def _is_usable(
-        self, target: ids.TargetId, now: datetime.timedelta
-    ) -> bool:
+    def _is_usable(self, target: ids.TargetId, now: datetime.timedelta) -> bool:
         """Whether the target can take a load from its holder now."""
         ctx = self._ctx
         item = ctx.membership.targets.get(target)
@@ -705,7 +703,8 @@
         idle = [
             reservations[model.slot]
             for model in status.models
-            if model.slot in reservations and self._may_evict(target, model, now)
+            if model.slot in reservations
+            and self._may_evict(target, model, now)
         ]
         if sum(item.memory_bytes for item in idle) < wanted:
             return
--- a/src/quetzalgauge/plan.py
+++ b/src/quetzalgauge/plan.py
@@ -94,9 +94,7 @@
     return None if found is None else found.availability_zones.get(zone)
 
 
-def _spec(
-    model: catalog_module.Model, version: ids.VersionName
-) -> Spec | None:
+def _spec(model: catalog_module.Model, version: ids.VersionName) -> Spec | None:
     found = model.versions.get(version)
     if found is None:
         return None
--- /dev/null
+++ b/src/quetzalgauge/polls.py
@@ -0,0 +1,79 @@
+"""When to ask which target for its status."""
+
+import dataclasses
+import datetime
+
+from quetzalgauge import ids
+
+HELD_INTERVAL = datetime.timedelta(seconds=1)
+# Targets without a living holder are read by every process of the zone, so
+# that their replicas stay routable; less often, since all do it.
+UNHELD_INTERVAL = datetime.timedelta(seconds=2)
+# The shell ends each poll; this only guards against a lost event.
+ANSWER_LIMIT = datetime.timedelta(seconds=30)
+
+
+@dataclasses.dataclass(slots=True)
+class Asked:
+    """A question that was sent: when, and the orders' mark at that time."""
+
+    at: datetime.timedelta
+    mark: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Row:
+    interval: datetime.timedelta
+    due: datetime.timedelta
+    asked: Asked | None = None
+
+
+class Polls:
+    """The targets that this process asks, and the answers it waits for."""
+
+    def __init__(self) -> None:
+        self._rows: dict[ids.TargetId, _Row] = {}
+
+    def choose(
+        self,
+        intervals: dict[ids.TargetId, datetime.timedelta],
+        now: datetime.timedelta,
+    ) -> None:
+        """Sets which targets are asked, and how often."""
+        for target, interval in intervals.items():
+            row = self._rows.get(target)
+            if row is None:
+                self._rows[target] = _Row(interval, now)
+            else:
+                row.interval = interval
+        for target in [name for name in self._rows if name not in intervals]:
+            del self._rows[target]
+
+    def hurry(self, target: ids.TargetId, now: datetime.timedelta) -> None:
+        """Asks a target again as soon as possible."""
+        row = self._rows.get(target)
+        if row is not None:
+            row.due = now
+
+    def take_due(
+        self, mark: int, now: datetime.timedelta
+    ) -> list[ids.TargetId]:
+        """Returns the targets to ask now and notes that they are asked."""
+        due = []
+        for target, row in self._rows.items():
+            if row.asked is not None and now - row.asked.at < ANSWER_LIMIT:
+                continue
+            if now >= row.due:
+                row.asked = Asked(now, mark)
+                row.due = now + row.interval
+                due.append(target)
+        return due
+
+    def answered(self, target: ids.TargetId) -> Asked | None:
+        """Takes the question that an answer belongs to."""
+        row = self._rows.get(target)
+        if row is None:
+            return None
+        asked = row.asked
+        row.asked = None
+        return asked
