Test leases and closure on an in-memory platform

A target that the list had dropped was no longer polled, so one that still answered was declared gone. Its last entry is now kept until it has ended.

--- a/src/quetzalgauge/controller.py
+++ b/src/quetzalgauge/controller.py
@@ -537,7 +537,7 @@
         intervals = {
             target: polls_module.HELD_INTERVAL
             for target in held
-            if target in membership.targets
+            if membership.last_known(target) is not None
         }
         if not ctx.reading.is_current(self._now) or not ctx.is_registered:
             for target in membership.engines(ctx.zone):
@@ -709,7 +709,7 @@
         self._needs_review = False
         self._needs_loads = False
         for target in self._polls.take_due(self._ctx.orders.mark, now):
-            item = self._ctx.membership.targets.get(target)
+            item = self._ctx.membership.last_known(target)
             if item is not None:
                 self._actions.append(messages.PollTarget(target, item.address))
 
--- a/src/quetzalgauge/membership.py
+++ b/src/quetzalgauge/membership.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+from typing import Any
 
 from quetzalgauge import ids
 from quetzalgauge import messages
@@ -25,6 +26,8 @@
         self._region = region
         self._targets: dict[ids.TargetId, messages.ListedInstance] = {}
         self._systems: dict[ids.InstanceId, messages.ListedInstance] = {}
+        # Entries that the list has dropped, until their incarnation ends.
+        self._former: dict[ids.TargetId, messages.ListedInstance] = {}
         self._leaving: set[Incarnation] = set()
         self._suspects: dict[ids.TargetId, datetime.timedelta] = {}
         self._absent_since: dict[str, datetime.timedelta] = {}
@@ -66,6 +69,12 @@
         """Whether the list showed a target once and no longer does."""
         return target in self._absent_since and target in self._seen
 
+    def last_known(
+        self, target: ids.TargetId
+    ) -> messages.ListedInstance | None:
+        """Returns the latest entry of a target, listed or not any more."""
+        return self._targets.get(target) or self._former.get(target)
+
     def engines(self, zone: ids.AvailabilityZone) -> list[ids.TargetId]:
         """Returns the listed model engines of a zone, by name."""
         return self._engines.get(zone, [])
@@ -90,6 +99,7 @@
         if instances == self._raw:
             return False
         self._raw = instances
+        former = self._targets
         self._changes += 1
         before = set(self._targets) | set(self._systems)
         ours = [item for item in instances if item.region == self._region]
@@ -109,8 +119,13 @@
             self._seen = set(present)
         for name in before - present:
             self._absent_since[name] = now
+            if name in former:
+                self._former[ids.TargetId(name)] = former[ids.TargetId(name)]
+        _keep_last(self._former)
+        _keep_last(self._absent_since)
         for name in present:
             self._absent_since.pop(name, None)
+            self._former.pop(ids.TargetId(name), None)
         self._engines = {}
         self._plain = {}
         for target in sorted(self._targets):
@@ -175,6 +190,7 @@
     ) -> None:
         """Forgets an incarnation that has ended."""
         key = (target, incarnation)
+        self._former.pop(target, None)
         self._leaving.discard(key)
         self._ended[key] = None
         while len(self._ended) > _ENDED_LIMIT:
@@ -193,3 +209,9 @@
             del self._suspects[target]
             return False
         return True
+
+
+def _keep_last(entries: dict[Any, Any]) -> None:
+    """Bounds a map that grows with each name that ever left the list."""
+    while len(entries) > _ENDED_LIMIT:
+        del entries[next(iter(entries))]
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -157,6 +157,7 @@
         self.stopped = set()
         self.holds_orders = set()  # Instances whose orders stay on the way.
         self.late_orders = []
+        self.unanswered = []
         self.lose_append = lambda bodies: False
         self.lose_answer = lambda order: False
         self.targets = {}
@@ -401,6 +402,7 @@
         self.sent.append((name, order))
         if name in self.holds_orders:
             self.late_orders.append((name, order))
+            self.unanswered.append((name, order))
             return
         outcome = self.deliver(order)
         if self.lose_answer(order):
@@ -419,16 +421,24 @@
     def drop_connections(self, name):
         """The sender sees its held orders fail; their bytes are under way."""
         self.holds_orders.discard(name)
-        for holder, order in list(self.late_orders):
+        for row in list(self.unanswered):
+            holder, order = row
             if holder == name:
+                self.unanswered.remove(row)
                 outcome = messages.OrderOutcome.UNKNOWN
                 self.send(name, messages.OrderAnswered(order, outcome))
         self._pump()
 
     def deliver_late(self):
-        """Lets every order that was held back arrive now."""
+        """Lets every order that was held back arrive now.
+
+        Returns:
+            The outcomes of the loads among them.
+        """
         orders, self.late_orders = self.late_orders, []
-        return [self.deliver(order) for _, order in orders]
+        outcomes = [(order, self.deliver(order)) for _, order in orders]
+        load = messages.OrderAction.LOAD
+        return [outcome for order, outcome in outcomes if order.action is load]
 
     # ---- Peers -----------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,303 @@
+"""Leases, fencing numbers and closure, on an in-memory platform."""
+
+import control_fakes
+import pytest
+
+from quetzalgauge import ids
+from quetzalgauge import messages
+from quetzalgauge import records
+
+
+def make_world(instances=2, targets=1, checks=True, models=1, **options):
+    world = control_fakes.World()
+    for index in range(targets):
+        world.add_target(f"lm-{index}", 1000, checks)
+    for index in range(instances):
+        world.start(f"node-{index}", **options)
+    names = [f"report-{index}" for index in range(models)]
+    world.ticket(1, {name: {"mib": 400} for name in names})
+    world.run(4)
+    return world
+
+
+def accepted(world, kind):
+    return [
+        envelope.body
+        for _, envelope, outcome in world.outcomes
+        if outcome.accepted and isinstance(envelope.body, kind)
+    ]
+
+
+def other_than(world, name):
+    return next(node for node in world.controllers if node != name)
+
+
+def test_a_target_has_one_holder_and_is_registered():
+    """Guards against several claims, or a target that stays unusable."""
+    world = make_world(instances=3, targets=3)
+    assert all(world.holder(target) for target in world.targets)
+    assert len(accepted(world, records.LeaseClaim)) == 3
+    assert len(accepted(world, records.TargetRegister)) == 3
+
+
+def test_leases_are_renewed():
+    """Guards against a lease that runs out under a living holder."""
+    world = make_world()
+    holder = world.holder("lm-0")
+    world.run(30)
+    assert world.holder("lm-0") == holder
+    assert len(accepted(world, records.LeaseClaim)) == 1
+
+
+def test_leases_spread_to_a_new_process():
+    """Guards against one process that carries all targets of a zone."""
+    world = make_world(instances=1, targets=6)
+    world.start("node-1")
+    world.run(40)
+    held = [world.holder(target) for target in world.targets]
+    assert 2 <= held.count("node-1") <= 4
+    world.run(30)
+    assert held == [world.holder(target) for target in world.targets]
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_late_load_of_a_paused_holder(checks):
+    """Guards against a slot that is loaded twice by a holder that woke up."""
+    world = make_world(checks=checks)
+    paused = world.holder("lm-0")
+    successor = other_than(world, paused)
+    target = world.ledger.target_of_slot(
+        ids.SlotId("report-0", control_fakes.ZONE, 0)
+    )
+    world.holds_orders.add(paused)
+    world.want(paused, "report-0")
+    world.run(0.5)
+    assert world.late_orders
+    world.paused.add(paused)
+    world.demand.clear()
+    world.run(15)
+    assert world.holder(target) == successor
+    is_closed = world.ledger.older_numbers_closed(target)
+    assert is_closed == checks
+    # The successor may use the reservation, but not give it up while the late
+    # order could still act.
+    world.ticket(2, {"report-0": None, "other": {"mib": 900}})
+    world.run(5)
+    world.deliver_late()
+    loaded = world.loaded()
+    assert bool(loaded) == (not checks)
+    world.paused.clear()
+    world.drop_connections(paused)
+    world.run(140)
+    assert not world.loaded()
+    assert world.ledger.older_numbers_closed(target)
+    world.want(successor, "other")
+    world.run_until(lambda: world.loaded("other"))
+
+
+def test_killed_holder_on_a_target_that_ignores_numbers():
+    """Guards against a release before a dead holder's orders have ended."""
+    world = make_world(checks=False)
+    dead = world.holder("lm-0")
+    world.holds_orders.add(dead)
+    world.want(dead, "report-0")
+    world.run(0.5)
+    world.kill(dead)
+    world.unlisted.add(dead)
+    world.demand.clear()
+    world.ticket(2, {"report-0": None})
+    world.run(60)
+    assert world.ledger.reservations("lm-0")
+    world.deliver_late()
+    assert world.loaded()
+    world.run(100)
+    assert not world.loaded()
+    assert not world.ledger.reservations("lm-0")
+    proofs = {body.proof for body in accepted(world, records.Close)}
+    assert proofs == {records.CloseProof.WRITER_GONE}
+
+
+def test_restarted_process_takes_over_its_own_targets():
+    """Guards against a wait for a lease of the same instance."""
+    world = make_world(instances=1)
+    world.want("node-0", "report-0")
+    world.run(3)
+    world.demand.clear()
+    world.start("node-0")
+    world.run(4)
+    assert world.holder("lm-0") == "node-0"
+    assert world.ready("node-0", "report-0") == ["lm-0"]
+    assert world.targets["lm-0"].loads.total() == 1
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [
+        records.Register,
+        records.LeaseClaim,
+        records.TargetRegister,
+        records.Renew,
+        records.Reserve,
+        records.Release,
+        records.Close,
+        records.Resign,
+        records.TargetGone,
+        records.InstanceGone,
+    ],
+)
+def test_lost_acknowledgement(kind):
+    """Guards against an append that is repeated with a second effect."""
+    lost = []
+
+    def lose(bodies):
+        is_lost = len(lost) < 2 and any(isinstance(b, kind) for b in bodies)
+        if is_lost:
+            lost.append(bodies)
+        return is_lost
+
+    world = control_fakes.World()
+    world.lose_append = lose
+    world.add_target("lm-0")
+    world.add_target("lm-1")
+    world.start("node-0")
+    world.start("node-1")
+    world.ticket(1, {"report": {"mib": 400}, "other": {"mib": 400}})
+    world.want("node-0", "report")
+    world.want("node-1", "report")
+    world.run(6)
+    world.ticket(2, {"other": None})
+    world.run(4)
+    world.targets["lm-1"].restart()
+    world.run(10)
+    holder = world.holder("lm-0")
+    world.send(holder, messages.DrainRequested())
+    world.run(5)
+    world.kill(holder)
+    world.unlisted.add(holder)
+    world.run(30)
+    assert lost
+    survivor = other_than(world, holder)
+    assert world.holder("lm-0") == survivor
+    assert world.ready(survivor, "report")
+    assert len(world.loaded()) == 1
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_restarted_target_with_orders_in_flight(checks):
+    """Guards against a registration that a late order could overtake."""
+    world = make_world(checks=checks)
+    holder = world.holder("lm-0")
+    world.holds_orders.add(holder)
+    world.want(holder, "report-0")
+    world.run(1)
+    assert world.late_orders
+    world.targets["lm-0"].restart()
+    world.run(10)
+    assert world.ledger.targets["lm-0"].incarnation is None
+    world.drop_connections(holder)
+    world.run(110)
+    assert world.ledger.targets["lm-0"].incarnation is None
+    assert set(world.deliver_late()) == {messages.OrderOutcome.NOT_SENT}
+    world.run(20)
+    assert world.ledger.targets["lm-0"].incarnation == "2"
+    assert world.ready(holder, "report-0") == ["lm-0"]
+
+
+def test_target_that_is_dropped_from_the_list():
+    """Guards against slots that stay reserved on a dead target."""
+    world = make_world(targets=2)
+    target = world.ledger.target_of_slot(
+        ids.SlotId("report-0", control_fakes.ZONE, 0)
+    )
+    world.targets[target].alive = False
+    world.targets[target].listed = False
+    world.run(15)
+    assert world.ledger.targets[target].incarnation is None
+    world.want("node-0", "report-0")
+    world.run_until(lambda: world.ready("node-0", "report-0"))
+
+
+def test_a_target_that_still_answers_is_not_gone():
+    """Guards against freed memory when only the instance list is wrong."""
+    world = make_world()
+    world.targets["lm-0"].listed = False
+    world.run(20)
+    assert not accepted(world, records.TargetGone)
+
+
+def test_log_down_while_a_holder_dies():
+    """Guards against a takeover without the log, or none after it."""
+    world = make_world()
+    dead = world.holder("lm-0")
+    survivor = other_than(world, dead)
+    world.want(survivor, "report-0")
+    world.run(3)
+    world.log_is_down = True
+    world.run(1)
+    world.kill(dead)
+    world.run(20)
+    assert world.holder("lm-0") == dead
+    assert world.ready(survivor, "report-0") == ["lm-0"]
+    world.log_is_down = False
+    world.run(15)
+    assert world.holder("lm-0") == survivor
+    assert world.ready(survivor, "report-0") == ["lm-0"]
+
+
+def test_an_outage_of_the_log_moves_no_lease():
+    """Guards against takeovers of living holders when the log comes back."""
+    world = make_world(instances=3, targets=3)
+    before = [world.holder(target) for target in world.targets]
+    world.log_is_down = True
+    world.run(30)
+    world.log_is_down = False
+    world.run(15)
+    assert before == [world.holder(target) for target in world.targets]
+
+
+def test_drain_with_loads_in_progress():
+    """Guards against open numbers or a cut load after a planned stop."""
+    world = make_world(checks=False)
+    world.targets["lm-0"].load_seconds = 20
+    holder = world.holder("lm-0")
+    successor = other_than(world, holder)
+    world.want(holder, "report-0")
+    world.run(1)
+    assert world.loaded()
+    world.send(holder, messages.DrainRequested())
+    world.run(3)
+    assert holder in world.stopped
+    world.demand.clear()
+    world.want(successor, "report-0")
+    world.run(25)
+    assert world.holder("lm-0") == successor
+    assert world.ledger.older_numbers_closed("lm-0")
+    assert world.ready(successor, "report-0") == ["lm-0"]
+    assert world.targets["lm-0"].loads.total() == 1
+
+
+def test_drain_waits_for_an_order_without_answer():
+    """Guards against a closure while an own order may still act."""
+    world = make_world(checks=False)
+    holder = world.holder("lm-0")
+    world.holds_orders.add(holder)
+    world.want(holder, "report-0")
+    world.run(0.5)
+    world.send(holder, messages.DrainRequested())
+    world.run(5)
+    world.drop_connections(holder)
+    world.run(100)
+    assert holder not in world.stopped
+    assert not world.ledger.older_numbers_closed("lm-0")
+    world.run(30)
+    assert holder in world.stopped
+    assert world.ledger.older_numbers_closed("lm-0")
+
+
+def test_a_process_that_was_declared_gone_stops():
+    """Guards against orders of a process that has lost its registration."""
+    world = make_world()
+    world.unlisted.add("node-0")
+    world.run(15)
+    assert "node-0" in world.stopped
+    assert all(world.holder(t) == "node-1" for t in world.targets)
