--- a/src/quetzalgauge/leases.py
+++ b/src/quetzalgauge/leases.py
@@ -110,8 +110,17 @@
         self, target: ids.TargetId, now: datetime.timedelta
     ) -> bool:
         """Whether the target answered a status request in the last seconds."""
+        return self.answered_within(target, ANSWER_VALID, now)
+
+    def answered_within(
+        self,
+        target: ids.TargetId,
+        limit: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Whether the latest status of a target is younger than a limit."""
         entry = self._statuses.get(target)
-        return entry is not None and now - entry[1] < ANSWER_VALID
+        return entry is not None and now - entry[1] < limit
 
     def is_lapsed(self, target: ids.TargetId, now: datetime.timedelta) -> bool:
         """Whether no renewal of a held lease was seen for its duration."""
