--- a/src/quetzalgauge/loopback.py
+++ b/src/quetzalgauge/loopback.py
@@ -27,7 +27,8 @@
 _READY_SECONDS = 30
 _STOP_SECONDS = 30
 _TAIL_CHARACTERS = 2000
-_ADDRESS = re.compile(r"\S+:\d+")
+# Either NAME=HOST:PORT or, in the order of the settings, HOST:PORT.
+_ADDRESS = re.compile(r"(?:(\w+)=)?([0-9.]+:[0-9]+)")
 _HOST = "127.0.0.1"
 
 
@@ -40,6 +41,7 @@
 
     Attributes:
         addresses: HOST:PORT by the key of the settings, once it is ready.
+        values: The settings, written to a file at each start.
     """
 
     def __init__(
@@ -52,7 +54,7 @@
         self.name = name
         self.addresses: dict[str, str] = {}
         self._command = command
-        self._values = values
+        self.values = values
         self._settings_file = folder / f"{name}.json"
         self._error_file = folder / f"{name}.err"
         self._child: subprocess.Popen[str] | None = None
@@ -75,7 +77,7 @@
 
     def start(self) -> None:
         """Starts the process and waits until it is ready."""
-        self._settings_file.write_text(json.dumps(self._values, indent=2))
+        self._settings_file.write_text(json.dumps(self.values, indent=2))
         module, *arguments = self._command
         with self._error_file.open("a") as errors:
             self._child = subprocess.Popen(
@@ -168,16 +170,26 @@
             )
         listeners = [
             key
-            for key in self._values
+            for key in self.values
             if key == "listen" or key.endswith("_listen")
         ]
         found = _ADDRESS.findall(line)
         if len(found) != len(listeners):
             raise LoopbackError(f"{self.name} printed {line!r}")
-        self.addresses = dict(zip(listeners, found, strict=True))
+        self.addresses = {
+            _listener_key(name) or key: address
+            for key, (name, address) in zip(listeners, found, strict=True)
+        }
         for key, address in self.addresses.items():
             # A restarted process takes the same ports.
-            self._values[key] = make_address(address)
+            self.values[key] = make_address(address)
+
+
+def _listener_key(name: str) -> str:
+    """Returns the settings key of a listener's name in the ready line."""
+    if not name or name.endswith("listen"):
+        return name
+    return f"{name}_listen"
 
 
 def make_environment() -> dict[str, str]:
@@ -381,6 +393,28 @@
         """As `get`, with a JSON body."""
         return self._call("POST", process.url + path, body)
 
+    def submit(self, ticket: dict[str, Any]) -> None:
+        """Submits a ticket and waits until every entry process has it."""
+
+        def is_accepted() -> bool:
+            control = next(iter(self.controls.values()))
+            address = control.addresses["operator_listen"]
+            url = f"http://{address}/tickets"
+            return self._http.request("POST", url, json=ticket).status == 200
+
+        wait_until(is_accepted, "ticket accepted")
+        wait_until(lambda: self._is_in_force(ticket), "ticket in force")
+
+    def _is_in_force(self, ticket: dict[str, Any]) -> bool:
+        wanted = {name for name, part in ticket["models"].items() if part}
+        for entry in self.entries.values():
+            if not entry.is_running():
+                continue
+            rows = self.get(entry, "/v1/models")["data"]
+            if not wanted <= {row["id"] for row in rows}:
+                return False
+        return True
+
     def operator_get(self, process: Process, path: str) -> Any:
         """Calls the operator listener of an entry or control process."""
         address = process.addresses["operator_listen"]
