Read is_ready of the control core as a property

Cause: the control process called is_ready as a method; the core has a property, so /readyz failed with TypeError. The fake core of the tests had the method, which hid it. Ruled out: a method in the core (dump and tests read the property). Change: the protocol, the call and the fake core use the property. Before and after: mypy reported the mismatch; make lint is clean.

--- a/src/quetzalgauge/control.py
+++ b/src/quetzalgauge/control.py
@@ -83,6 +83,7 @@
     ) -> messages.TicketStatus | None:
         """Returns the status of a ticket, None if never seen."""
 
+    @property
     def is_ready(self) -> bool:
         """Whether routes have been built from log and targets."""
 
@@ -426,7 +427,7 @@
         if self._drain_since is not None:
             return False
         return self._inbox.query(
-            lambda controller: controller.is_ready(), _QUERY_TIMEOUT
+            lambda controller: controller.is_ready, _QUERY_TIMEOUT
         )
 
     def _dump(self) -> Any:
--- a/tests/control_with_fake_core.py
+++ b/tests/control_with_fake_core.py
@@ -93,6 +93,7 @@
         """Knows no ticket."""
         return
 
+    @property
     def is_ready(self):
         """Ready after the first list."""
         return "InstancesListed" in self._counts
