Make the adapter download test independent of thread start-up

Cause: test_adapters_beyond_thirty_take_proportionally_longer failed once in a full run (0.084 s against a bound of 0.09 s): with 50 ms per download the 60 threads did not all overlap on a busy machine. Ruled out: a fault of the store; the number in flight had not reached 60. Change: ten times the download time with the same ratios (0.9 of two times). Conclusion: the bound is as strict relative to the time of one download.

--- a/tests/test_standin_store.py
+++ b/tests/test_standin_store.py
@@ -53,8 +53,9 @@
 
 
 def test_adapters_beyond_thirty_take_proportionally_longer(make_store):
-    store = make_store(threads=70, adapter_time=0.05)
+    # The time is long against the start of 60 threads on a busy machine.
+    store = make_store(threads=70, adapter_time=0.5)
     few = fetch_all(store, ["/adapters/a"] * 10)
     many = fetch_all(store, ["/adapters/a"] * 60)
-    assert max(taken for _, taken in many) >= 0.09
-    assert max(taken for _, taken in few) < 0.09
+    assert max(taken for _, taken in many) >= 0.9
+    assert max(taken for _, taken in few) < 0.9
