--- a/src/quetzalgauge/emulator.py
+++ b/src/quetzalgauge/emulator.py
@@ -388,6 +388,9 @@
         self.candidates: Callable[[int, ids.ModelName], list[Engine]] = (
             self._every_engine
         )
+        self._running_of: collections.Counter[tuple[int, ids.ModelName]] = (
+            collections.Counter()
+        )
         self._waits: list[Wait] = []
         self._cold: set[int] = set()
         for engine in self.engines.values():
@@ -421,6 +424,10 @@
             if model in engine.models
         )
 
+    def running_of(self, entry: int, model: ids.ModelName) -> int:
+        """Returns the requests of one entry instance running for a model."""
+        return self._running_of[entry, model]
+
     def _every_engine(self, entry: int, model: ids.ModelName) -> list[Engine]:
         return list(self.engines.values())
 
@@ -460,4 +467,9 @@
             request = queue.popleft()
             was_cold = id(request) in self._cold
             self._waits.append(Wait(request, self.clock.now, was_cold))
-            engine.start(request, self.dispatch)
+            self._running_of[entry, model] += 1
+            engine.start(request, functools.partial(self._finish, request))
+
+    def _finish(self, request: traces.Request) -> None:
+        self._running_of[request.entry, request.model] -= 1
+        self.dispatch()
