Test placement; sum up the demand of all entries at one holder

Demand was handed over only while no replica was loaded, so thirty requests at each of two entries never made a second replica. Demand now also goes to the holder of the next slot, which alone decides.

--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -228,7 +228,8 @@
         most = plan_module.max_replicas(ctx.catalog, servable.model, zone)
         requests = self._demands.requests(servable)
         needed = max(1, math.ceil(requests / views_module.MAX_RUNNING))
-        if self._count_loaded(servable, zone) >= min(needed, most):
+        loaded = self._count_loaded(servable, zone)
+        if loaded >= most:
             return
         slots = [
             ids.SlotId(servable.model, zone, index) for index in range(most)
@@ -242,9 +243,13 @@
         else:
             target, slot = place
         if not ctx.holds(target):
+            # Also without need for a further replica: only the holder of the
+            # next slot sees the demand of all entries together.
             holder = ctx.ledger.targets[target].holder
             if holder is not None:
                 forwards.setdefault(holder.instance, []).append(servable)
+        elif loaded >= needed:
+            return
         elif place is not None:
             self._load(target, slot, now)
         elif slot not in ctx.ledger.slots:
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,363 @@
+"""Reservations, loads and unloads, on an in-memory platform."""
+
+import control_fakes
+import pytest
+
+from quetzalgauge import ids
+from quetzalgauge import messages
+from quetzalgauge import placement
+from quetzalgauge import records
+from quetzalgauge.gen import ttypes
+
+ZONE = control_fakes.ZONE
+
+
+def make_world(instances=2, targets=2, memory_mib=1000, models=None, **more):
+    world = control_fakes.World()
+    for index in range(targets):
+        world.add_target(f"lm-{index}", memory_mib, **more)
+    for index in range(instances):
+        world.start(f"node-{index}")
+    world.ticket(1, models if models is not None else {"report": {}})
+    world.run(5)
+    return world
+
+
+def sent(world, action):
+    return [order for _, order in world.sent if order.action is action]
+
+
+def slot(model, index=0):
+    return ids.SlotId(model, ZONE, index)
+
+
+def states(world, node, model):
+    return [
+        replica.state
+        for replica in world.routes(node).replicas
+        if replica.slot.model == model
+    ]
+
+
+def test_burst_at_every_instance_is_one_load():
+    """Guards against a load per entry instance when demand is sudden."""
+    world = make_world(instances=4, targets=4, models={"report": {"most": 3}})
+    for node in world.controllers:
+        world.want(node, "report", waiting=8)
+    world.run_until(lambda: world.ready("node-0", "report"), 3)
+    assert len(sent(world, messages.OrderAction.LOAD)) == 1
+    assert len(world.loaded()) == 1
+
+
+def test_second_replica_only_for_more_than_the_first_takes():
+    """Guards against idle replicas, and against a replica that is missing."""
+    world = make_world(instances=2, targets=3, models={"report": {"most": 2}})
+    world.want("node-0", "report", waiting=30)
+    world.run(5)
+    assert len(world.loaded()) == 1
+    world.want("node-1", "report", waiting=30)
+    world.run(5)
+    assert len(world.loaded()) == 2
+    world.want("node-1", "report", waiting=300, origin="another")
+    world.run(5)
+    assert len(world.loaded()) == 2
+
+
+def test_minimum_replicas_are_kept_loaded():
+    """Guards against a cold model that should be warm."""
+    world = make_world(models={"report": {"most": 2, "least": 1}})
+    world.run(30)
+    assert len(world.loaded()) == 1
+    assert not sent(world, messages.OrderAction.UNLOAD)
+
+
+def test_unreserved_model_takes_the_place_of_an_unused_reservation():
+    """Guards against demand that waits while memory is only reserved."""
+    models = {f"model-{i}": {"mib": 500} for i in range(6)}
+    world = make_world(models=models)
+    cold = [m for m in models if slot(m) not in world.ledger.slots]
+    assert len(cold) == 2
+    world.want("node-0", cold[0])
+    world.run_until(lambda: world.ready("node-0", cold[0]), 5)
+
+
+def test_unreserved_model_prefers_a_target_with_its_checkpoint():
+    """Guards against a slow load from the store beside a fast one."""
+    world = make_world(targets=3, models={})
+    tier = messages.CacheTier.DISK
+    world.targets["lm-2"].cached[("report", "v1")] = tier
+    world.run(2)
+    world.ticket(2, {"report": {}})
+    world.run(3)
+    assert world.ledger.target_of_slot(slot("report")) == "lm-2"
+
+
+def test_idle_model_gives_way_to_demand():
+    """Guards against demand that waits for memory held by an idle model."""
+    models = {f"model-{i}": {"mib": 900} for i in range(2)}
+    world = make_world(targets=1, models=models)
+    first = next(iter(world.ledger.slots)).model
+    other = next(model for model in models if model != first)
+    world.want("node-0", first)
+    world.run(3)
+    assert world.loaded(first)
+    world.demand.clear()
+    world.want("node-0", other)
+    world.run_until(lambda: world.ready("node-0", other), 15)
+
+
+def test_idle_time_depends_on_the_reload_cost():
+    """Guards against an unload that is too early or never happens."""
+    world = make_world(targets=1, models={"report": {"mib": 900}})
+    world.want("node-0", "report")
+    world.run(3)
+    world.demand.clear()
+    # 900 MiB at 0.5 GB/s, ten times: about 19 s.
+    world.run(15)
+    assert world.loaded()
+    world.run(12)
+    assert not world.loaded()
+    assert world.ledger.target_of_slot(slot("report")) == "lm-0"
+    world.want("node-0", "report")
+    world.run(3)
+    world.demand.clear()
+    # The checkpoint stayed in the target's memory, so it reloads fast.
+    world.run(14)
+    assert not world.loaded()
+
+
+def test_unload_is_published_before_it_is_ordered():
+    """Guards against an unload while entries still send requests."""
+    world = make_world(models={"report": {"mib": 400}})
+    for node in ("node-0", "node-1"):
+        world.want(node, "report")
+    world.run(3)
+    world.demand.clear()
+    world.ticket(2, {"report": None})
+    world.run(0.5)
+    for node in ("node-0", "node-1"):
+        assert states(world, node, "report") == [ttypes.ReplicaState.UNLOADING]
+    assert not sent(world, messages.OrderAction.UNLOAD)
+    world.run(placement.UNLOAD_NOTICE.total_seconds() + 1)
+    assert sent(world, messages.OrderAction.UNLOAD)
+    assert not world.loaded()
+    assert not world.ledger.slots
+
+
+def test_demand_cancels_an_announced_idle_unload():
+    """Guards against an unload of a model that is wanted again."""
+    world = make_world(targets=1, models={"report": {"mib": 400}})
+    world.want("node-0", "report")
+    world.run(3)
+    world.demand.clear()
+    world.run_until(
+        lambda: (
+            states(world, "node-0", "report") == [ttypes.ReplicaState.UNLOADING]
+        ),
+        20,
+    )
+    world.want("node-0", "report")
+    world.run(10)
+    assert not sent(world, messages.OrderAction.UNLOAD)
+    assert world.ready("node-0", "report")
+
+
+def test_new_default_version_replaces_the_old_one():
+    """Guards against a version that stays after a ticket has changed it."""
+    world = make_world(models={"report": {}})
+    world.want("node-0", "report")
+    world.run(3)
+    world.demand.clear()
+    both = {"report": {"versions": ["v1", "v2"], "default": "v2"}}
+    world.ticket(2, both)
+    world.want("node-0", "report", version="v2")
+    world.run_until(lambda: ("report", "v2") in loaded_versions(world), 20)
+    world.run(5)
+    assert loaded_versions(world) == [("report", "v2")]
+    world.demand.clear()
+    world.want("node-0", "report", version="v1")
+    world.run_until(lambda: ("report", "v1") in loaded_versions(world), 20)
+
+
+def loaded_versions(world):
+    return [key for t in world.targets.values() for key in t.models]
+
+
+def test_lower_maximum_drains_the_surplus():
+    """Guards against replicas above a maximum that was lowered."""
+    models = {"report": {"most": 2, "least": 2}}
+    world = make_world(models=models)
+    assert len(world.loaded()) == 2
+    world.ticket(2, {"report": {"most": 1, "least": 1}})
+    world.run(5)
+    assert [place[1].index for place in world.loaded()] == [0]
+    assert list(world.ledger.slots) == [slot("report", 0)]
+
+
+@pytest.mark.parametrize("source", ["list", "status", "operator"])
+def test_leaving_target_gives_up_its_slots(source):
+    """Guards against new work for a target that leaves, and lost slots."""
+    world = make_world(instances=3, targets=2)
+    world.want("node-0", "report")
+    world.run(3)
+    (name,) = world.ready("node-0", "report")
+    target = world.targets[name]
+    if source == "list":
+        target.leaving = True
+    elif source == "status":
+        target.draining = True
+    else:
+        event = messages.TargetDrainRequested("token", name)
+        world.send("node-1", event)
+    world.run(2)
+    for node in world.controllers:
+        assert name not in world.ready(node, "report")
+    # What was said once never reverts.
+    target.leaving = target.draining = False
+    world.run_until(lambda: world.ready("node-0", "report"), 10)
+    assert world.ready("node-0", "report") != [name]
+    assert not target.models
+
+
+def test_target_reclaimed_during_a_burst():
+    """Guards against a burst that finds no replica after a reclaim."""
+    models = {f"model-{i}": {"mib": 400, "most": 2} for i in range(3)}
+    world = make_world(instances=3, targets=3, models=models)
+    for target in world.targets.values():
+        target.load_seconds = 3
+    for model in models:
+        for node in world.controllers:
+            world.want(node, model, waiting=20)
+    world.run(2)
+    victim = world.loaded()[0][0]
+    world.targets[victim].alive = False
+    world.suspects = [victim]
+    world.run(1)
+    world.targets[victim].listed = False
+    world.run_until(
+        lambda: all(world.ready("node-0", model) for model in models), 30
+    )
+
+
+def test_store_share_limits_loads_at_once():
+    """Guards against more loads than the zone's share of the store."""
+    models = {f"model-{i}": {"mib": 400} for i in range(8)}
+    world = make_world(instances=1, targets=8, models=models)
+    for target in world.targets.values():
+        target.load_seconds = 5
+    for model in models:
+        world.want("node-0", model)
+    world.run(3)
+    assert len(world.loaded()) == 4
+    world.run(6)
+    assert len(world.loaded()) == 8
+
+
+def test_zone_share_adds_up_to_the_region_limit():
+    """Guards against zones that together exceed the store's limit."""
+    world = make_world(targets=0)
+    world.start("node-10", zone="uy-south-b")
+    world.start("node-11", zone="uy-south-c")
+    world.run(2)
+    zones = ("uy-south-a", "uy-south-b", "uy-south-c")
+    shares = [placement.zone_share(world.ledger, 4, zone) for zone in zones]
+    assert shares == [2, 1, 1]
+
+
+def test_log_down_while_a_model_is_cold():
+    """Guards against a cold start that needs the log."""
+    world = make_world(instances=3)
+    world.log_is_down = True
+    world.run(20)
+    for node in world.controllers:
+        world.want(node, "report")
+    world.run_until(lambda: world.ready("node-2", "report"), 5)
+    assert len(world.loaded()) == 1
+
+
+def test_log_down_while_a_target_leaves():
+    """Guards against a slot that is loaded twice without the log."""
+    world = make_world()
+    world.want("node-0", "report")
+    world.run(3)
+    (name,) = world.ready("node-0", "report")
+    world.log_is_down = True
+    world.run(1)
+    world.targets[name].leaving = True
+    world.run(20)
+    assert world.ledger.target_of_slot(slot("report")) == name
+    assert not world.ready("node-0", "report")
+    world.log_is_down = False
+    world.run_until(lambda: world.ready("node-0", "report"), 10)
+
+
+def test_cut_off_zone_with_one_instance():
+    """Guards against a cut-off zone that cannot load its reserved slots."""
+    world = make_world(instances=1, targets=1)
+    world.add_target("lm-9", zone="uy-south-b")
+    world.start("node-9", zone="uy-south-b")
+    both = {"report": {"zones": [ZONE, "uy-south-b"]}}
+    world.ticket(2, both)
+    world.run(5)
+    world.cut.add("node-9")
+    world.isolated.add("node-9")
+    world.run(60)
+    world.want("node-9", "report")
+    world.run_until(lambda: world.ready("node-9", "report"), 5)
+    assert world.holder("lm-9") == "node-9"
+    world.ticket(3, {"report": None})
+    world.run(10)
+    assert world.loaded()
+    world.cut.clear()
+    world.isolated.clear()
+    world.demand.clear()
+    world.run(10)
+    assert not world.loaded()
+
+
+def test_demand_of_a_zone_without_replicas_goes_to_another():
+    """Guards against a model that only entries of its own zone can start."""
+    world = make_world(instances=1, targets=1)
+    world.start("node-9", zone="uy-south-b")
+    world.run(3)
+    world.want("node-9", "report")
+    world.run_until(lambda: world.ready("node-9", "report"), 10)
+
+
+def test_refused_load_is_tried_again():
+    """Guards against a slot that is stuck after one refused order."""
+    world = make_world(instances=1, targets=1)
+    real = world.targets["lm-0"].order
+    refused = messages.OrderOutcome.REFUSED
+    world.targets["lm-0"].order = lambda order, now: refused
+    world.want("node-0", "report")
+    world.run(3)
+    tries = len(sent(world, messages.OrderAction.LOAD))
+    assert 2 <= tries <= 4
+    world.targets["lm-0"].order = real
+    world.run_until(lambda: world.loaded(), 3)
+
+
+def test_failed_load_is_tried_again():
+    """Guards against a slot that is stuck after a load that vanished."""
+    world = make_world(instances=1, targets=1)
+    world.targets["lm-0"].load_seconds = 60
+    world.want("node-0", "report")
+    world.run(2)
+    world.targets["lm-0"].models.clear()
+    world.targets["lm-0"].load_seconds = 1
+    world.run_until(lambda: world.ready("node-0", "report"), 10)
+
+
+def test_released_slot_is_not_loaded():
+    """Guards against a load that overtakes the release of its slot."""
+    world = make_world(instances=1, targets=1)
+    world.lose_append = lambda bodies: any(
+        isinstance(body, records.Release) for body in bodies
+    )
+    world.ticket(2, {"report": {"most": 0}})
+    world.want("node-0", "report")
+    world.run(3)
+    world.ticket(3, {"report": {}})
+    world.run(10)
+    assert len(world.loaded()) == 1
