--- a/src/quetzalgauge/appends.py
+++ b/src/quetzalgauge/appends.py
@@ -185,12 +185,19 @@
             return True
         proposal = self._unread.get(envelope.sequence)
         if proposal is not None:
-            return proposal.body != envelope.body
+            return _differs(proposal.body, envelope.body)
         return any(
             queued.sequence == envelope.sequence for queued in self._queue
         )
 
 
+def _differs(proposed: records.Body, read: records.Body) -> bool:
+    # Peers pass snapshot records on without the state.
+    if isinstance(proposed, records.Snapshot):
+        return not isinstance(read, records.Snapshot)
+    return proposed != read
+
+
 def make_appends(writer: ids.WriterId) -> Appends:
     """Returns the state of a writer that has proposed nothing."""
     return Appends(writer)
