--- a/src/quetzalgauge/demand.py
+++ b/src/quetzalgauge/demand.py
@@ -33,9 +33,9 @@
     def __init__(self) -> None:
         self._rows: dict[Servable, dict[str, _Row]] = {}
         # When a model was last wanted; the most recent one stands last.
-        self._wanted: collections.OrderedDict[
-            Servable, datetime.timedelta
-        ] = collections.OrderedDict()
+        self._wanted: collections.OrderedDict[Servable, datetime.timedelta] = (
+            collections.OrderedDict()
+        )
 
     def put(self, demand: Any, is_own: bool, now: datetime.timedelta) -> None:
         """Notes one ttypes.Demand.
@@ -76,10 +76,6 @@
         rows = self._rows.get(servable, {})
         return any(row.demand.waiting for row in rows.values())
 
-    def is_model_waiting(self, model: ids.ModelName) -> bool:
-        """Whether a request waits for any version of a model."""
-        return any(servable.model == model for servable in self._rows)
-
     def requests(self, servable: Servable) -> int:
         """Returns the number of requests that wait or run."""
         rows = self._rows.get(servable, {})
--- a/src/quetzalgauge/leases.py
+++ b/src/quetzalgauge/leases.py
@@ -55,6 +55,7 @@
         self._statuses: dict[
             ids.TargetId, tuple[messages.TargetStatus, datetime.timedelta]
         ] = {}
+        self._marks: dict[ids.TargetId, int] = {}
         self._renew_sent: datetime.timedelta | None = None
         self._confirmed: datetime.timedelta = _LONG_AGO
         self._claim_sent: dict[ids.TargetId, datetime.timedelta] = {}
@@ -101,12 +102,25 @@
         entry = self._statuses.get(target)
         return None if entry is None else entry[0]
 
+    def status_mark(self, target: ids.TargetId) -> int | None:
+        """Returns the orders' mark when the latest status was asked for."""
+        return self._marks.get(target)
+
     def answered_lately(
         self, target: ids.TargetId, now: datetime.timedelta
     ) -> bool:
         """Whether the target answered a status request in the last seconds."""
+        return self.answered_within(target, ANSWER_VALID, now)
+
+    def answered_within(
+        self,
+        target: ids.TargetId,
+        limit: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Whether the latest status of a target is younger than a limit."""
         entry = self._statuses.get(target)
-        return entry is not None and now - entry[1] < ANSWER_VALID
+        return entry is not None and now - entry[1] < limit
 
     def is_lapsed(self, target: ids.TargetId, now: datetime.timedelta) -> bool:
         """Whether no renewal of a held lease was seen for its duration."""
@@ -230,9 +244,18 @@
         target: ids.TargetId,
         status: messages.TargetStatus,
         asked: datetime.timedelta,
+        mark: int,
     ) -> None:
-        """Notes a target's status and when it was asked for."""
+        """Notes a target's status.
+
+        Args:
+            target: The target.
+            status: Its report.
+            asked: When it was asked for the report.
+            mark: The mark of the orders at that time.
+        """
         self._statuses[target] = (status, asked)
+        self._marks[target] = mark
 
     # ---- Reviews -----------------------------------------------------------
 
@@ -277,9 +300,7 @@
             self._renew_sent = now
             self._ctx.propose(records.Renew())
 
-    def _settle(
-        self, target: ids.TargetId, number: ids.FencingNumber
-    ) -> None:
+    def _settle(self, target: ids.TargetId, number: ids.FencingNumber) -> None:
         """Closes an own former number once none of its orders is in flight."""
         ctx = self._ctx
         state = ctx.ledger.targets.get(target)
@@ -288,9 +309,7 @@
         in_use = state.holder == ctx.writer and state.fencing_number == number
         if in_use or ctx.orders.in_flight(target, fencing_number=number):
             return
-        ctx.propose(
-            records.Close(target, number, records.CloseProof.SETTLED)
-        )
+        ctx.propose(records.Close(target, number, records.CloseProof.SETTLED))
 
     def _review_target(
         self, target: ids.TargetId, now: datetime.timedelta
--- a/src/quetzalgauge/membership.py
+++ b/src/quetzalgauge/membership.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+from typing import Any
 
 from quetzalgauge import ids
 from quetzalgauge import messages
@@ -25,6 +26,8 @@
         self._region = region
         self._targets: dict[ids.TargetId, messages.ListedInstance] = {}
         self._systems: dict[ids.InstanceId, messages.ListedInstance] = {}
+        # Entries that the list has dropped, until their incarnation ends.
+        self._former: dict[ids.TargetId, messages.ListedInstance] = {}
         self._leaving: set[Incarnation] = set()
         self._suspects: dict[ids.TargetId, datetime.timedelta] = {}
         self._absent_since: dict[str, datetime.timedelta] = {}
@@ -33,6 +36,7 @@
         self._ended: collections.OrderedDict[Incarnation, None] = (
             collections.OrderedDict()
         )
+        self._changes = 0
         self._raw: tuple[messages.ListedInstance, ...] | None = None
         self._last_listed: datetime.timedelta | None = None
         self._engines: dict[ids.AvailabilityZone, list[ids.TargetId]] = {}
@@ -56,6 +60,21 @@
         """All target incarnations that are known to be leaving."""
         return self._leaving
 
+    @property
+    def changes(self) -> int:
+        """Grows with each change of the list or of the leaving targets."""
+        return self._changes
+
+    def is_absent(self, target: ids.TargetId) -> bool:
+        """Whether the list showed a target once and no longer does."""
+        return target in self._absent_since and target in self._seen
+
+    def last_known(
+        self, target: ids.TargetId
+    ) -> messages.ListedInstance | None:
+        """Returns the latest entry of a target, listed or not any more."""
+        return self._targets.get(target) or self._former.get(target)
+
     def engines(self, zone: ids.AvailabilityZone) -> list[ids.TargetId]:
         """Returns the listed model engines of a zone, by name."""
         return self._engines.get(zone, [])
@@ -80,6 +99,8 @@
         if instances == self._raw:
             return False
         self._raw = instances
+        former = self._targets
+        self._changes += 1
         before = set(self._targets) | set(self._systems)
         ours = [item for item in instances if item.region == self._region]
         self._targets = {
@@ -94,10 +115,17 @@
         }
         present = set(self._targets) | set(self._systems)
         self._seen |= present
+        if len(self._seen) > len(present) + _ENDED_LIMIT:
+            self._seen = set(present)
         for name in before - present:
             self._absent_since[name] = now
+            if name in former:
+                self._former[ids.TargetId(name)] = former[ids.TargetId(name)]
+        _keep_last(self._former)
+        _keep_last(self._absent_since)
         for name in present:
             self._absent_since.pop(name, None)
+            self._former.pop(ids.TargetId(name), None)
         self._engines = {}
         self._plain = {}
         for target in sorted(self._targets):
@@ -140,6 +168,7 @@
         if key in self._leaving or key in self._ended:
             return False
         self._leaving.add(key)
+        self._changes += 1
         return True
 
     def is_leaving(self, target: ids.TargetId) -> bool:
@@ -161,6 +190,7 @@
     ) -> None:
         """Forgets an incarnation that has ended."""
         key = (target, incarnation)
+        self._former.pop(target, None)
         self._leaving.discard(key)
         self._ended[key] = None
         while len(self._ended) > _ENDED_LIMIT:
@@ -179,3 +209,9 @@
             del self._suspects[target]
             return False
         return True
+
+
+def _keep_last(entries: dict[Any, Any]) -> None:
+    """Bounds a map that grows with each name that ever left the list."""
+    while len(entries) > _ENDED_LIMIT:
+        del entries[next(iter(entries))]
--- a/src/quetzalgauge/streams.py
+++ b/src/quetzalgauge/streams.py
@@ -1,133 +1,106 @@
-"""Tasks that read streams of the platform's log and append to them."""
-
-from collections.abc import Callable
-import datetime
-import queue
-import random as random_module
-import threading
-
-from quetzalgauge import exceptions
-from quetzalgauge import ids
-from quetzalgauge import logclient
-from quetzalgauge import logs
-from quetzalgauge import messages
-from quetzalgauge import tasks
-
-READ_LIMIT = 500
-# The core's READ_GAP is twice this wait and a margin.
-READ_WAIT = datetime.timedelta(seconds=3)
-# After a failed call the task pauses for a random time up to this, so that the
-# instances don't return all at once after an outage.
-_FAILURE_PAUSE = datetime.timedelta(seconds=1)
-_log = logs.make_logger("log")
-
-
-class Reader:
-    """Reads one stream and hands the records over in order.
-
-    Args:
-        url: Root of the log service.
-        stream: Name of the stream.
-        deliver: Called with StreamRead, StreamExpired or StreamFailed; returns
-            when the event has been handled, so that a slow fold slows the
-            reader down.
-        on_failure: See `tasks.start_thread`.
+"""Server-sent events of a target's stream: whole events and the end marker."""
+
+import re
+
+# A target that never ends an event must not fill the memory.
+MAX_EVENT_BYTES = 1_048_576
+
+_END_MARKER = re.compile(rb"(?:\A|\n)data: ?\[DONE\]\r?\n\r?\n", re.DOTALL)
+_ID_LINE = re.compile(rb"^id: ?([^\r\n]*)\r?$", re.MULTILINE)
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
+
+
+class StreamError(ValueError):
+    """The target's stream breaks the protocol."""
+
+
+class EventFilter:
+    """Passes on whole events up to and including the end marker.
+
+    An event that is cut in the middle is never passed on, so an error event
+    can follow at any time.
     """
 
-    def __init__(
-        self,
-        url: str,
-        stream: ids.StreamName,
-        deliver: Callable[[messages.Event], None],
-        on_failure: Callable[[str], None],
-    ) -> None:
-        self._url = url
-        self._stream = stream
-        self._deliver = deliver
-        self._positions: queue.SimpleQueue[ids.Offset] = queue.SimpleQueue()
-        self._stopping = threading.Event()
-        self._failing = False
-        self._thread = tasks.start_thread(
-            f"read-{stream}", self._run, on_failure
-        )
-
-    def read_from(self, offset: ids.Offset) -> None:
-        """Continues at an offset."""
-        self._positions.put(offset)
-
-    def stop(self) -> None:
-        """Ends the task after its present read; does not wait for it."""
-        self._stopping.set()
-        self._positions.put(ids.NO_OFFSET)
-
-    def _run(self) -> None:
-        client = logclient.LogClient(self._url)
-        position = self._positions.get()
-        while not self._stopping.is_set():
-            while not self._positions.empty():
-                position = self._positions.get()
-            if self._stopping.is_set():
-                break
-            next_position = self._read_once(client, position)
-            if next_position is None:
-                next_position = self._positions.get()
-            position = next_position
-        client.close()
-
-    def _read_once(
-        self, client: logclient.LogClient, position: ids.Offset
-    ) -> ids.Offset | None:
-        """Returns the next position, None if the core must give one."""
-        try:
-            result = client.read(self._stream, position, READ_LIMIT, READ_WAIT)
-        except exceptions.LogExpiredError as error:
-            earliest = ids.Offset(error.earliest)
-            self._deliver(messages.StreamExpired(self._stream, earliest))
-            return None
-        except exceptions.LogUnavailableError as error:
-            self._report(str(error))
-            self._deliver(messages.StreamFailed(self._stream))
-            pause = random_module.uniform(0.1, _FAILURE_PAUSE.total_seconds())
-            self._stopping.wait(pause)
-            return position
-        self._report("")
-        self._deliver(
-            messages.StreamRead(
-                self._stream, result.records, result.next_offset
-            )
-        )
-        return ids.Offset(position + len(result.records))
-
-    def _report(self, failure: str) -> None:
-        """Logs the change between working and failing, not each failure."""
-        if bool(failure) == self._failing:
-            return
-        self._failing = bool(failure)
-        if failure:
-            _log.warning("cannot read %s: %s", self._stream, failure)
+    def __init__(self) -> None:
+        self._rest = b""
+        self._with_id = b""
+        self._skip_until: int | None = None
+        self._done = False
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the end marker was passed on."""
+        return self._done
+
+    @property
+    def last_event(self) -> str:
+        """The id of the last event passed on, empty if there is none."""
+        found = _ID_LINE.findall(self._with_id)
+        return found[-1].decode("latin-1") if found else ""
+
+    def resume(self) -> None:
+        """Starts with a new answer that goes on after `last_event`.
+
+        Events up to that one are dropped if the target repeats them.
+        """
+        self._rest = b""
+        last = self.last_event
+        self._skip_until = int(last) if last.isdecimal() else None
+
+    def feed(self, data: bytes) -> bytes:
+        """Takes bytes from the target and returns whole events.
+
+        Raises:
+            StreamError: An event is too long, or a resumed stream has a gap.
+        """
+        if self._done:
+            return b""
+        if self._rest:
+            data = self._rest + data
+        # Most reads end with an event.
+        end = len(data) if data.endswith(b"\n\n") else _last_end(data)
+        if end < len(data):
+            self._rest = data[end:]
+            data = data[:end]
+            if len(self._rest) > MAX_EVENT_BYTES:
+                raise StreamError("an event is too long")
         else:
-            _log.info("reading %s again", self._stream)
-
-
-def make_appender(
-    url: str,
-    stream: ids.StreamName,
-    deliver: Callable[[messages.Event], None],
-    on_failure: Callable[[str], None],
-) -> tasks.Task:
-    """Returns a task that takes AppendRecords and delivers AppendDone."""
-    client = logclient.LogClient(url)
-
-    def append(action: messages.AppendRecords) -> None:
-        result = client.append(stream, action.data)
-        acknowledged = result.outcome is logclient.AppendOutcome.ACKNOWLEDGED
-        if not acknowledged:
-            _log.info(
-                "append to %s %s: %s",
-                stream,
-                result.outcome.value,
-                result.reason,
-            )
-        deliver(messages.AppendDone(stream, acknowledged))
-
-    return tasks.Task(f"append-{stream}", append, client.close, on_failure)
+            self._rest = b""
+        if self._skip_until is not None:
+            data = self._skip(data)
+        if b"[DONE]" in data:
+            marker = _END_MARKER.search(data)
+            if marker is not None:
+                self._done = True
+                return data[: marker.end()]
+        if b"id:" in data:
+            self._with_id = data
+        return data
+
+    def _skip(self, data: bytes) -> bytes:
+        """Drops repeated events and checks that none is missing."""
+        place = 0
+        while self._skip_until is not None and place < len(data):
+            match = _EVENT_END.search(data, place)
+            end = match.end() if match else len(data)
+            found = _ID_LINE.search(data, place, end)
+            number = found.group(1) if found else b""
+            if not number.isdigit():
+                # The end marker and comments may have no id.
+                self._skip_until = None
+            elif int(number) <= self._skip_until:
+                place = end
+            elif int(number) == self._skip_until + 1:
+                self._skip_until = None
+            else:
+                raise StreamError("events are missing after a resume")
+        return data[place:]
+
+
+def _last_end(data: bytes) -> int:
+    """Returns the place after the last whole event."""
+    plain = data.rfind(b"\n\n")
+    carriage = data.rfind(b"\r\n\r\n")
+    return max(
+        plain + 2 if plain >= 0 else 0, carriage + 4 if carriage >= 0 else 0
+    )
