--- a/src/quetzalgauge/follower.py
+++ b/src/quetzalgauge/follower.py
@@ -33,6 +33,9 @@
 SNAPSHOT_SPACING = datetime.timedelta(seconds=1)
 # Wait for the own snapshot to be read back before another is due.
 SNAPSHOT_PATIENCE = datetime.timedelta(seconds=60)
+# The log keeps records for a limited time, so a stream with few records needs a
+# snapshot too. The limit must be several times as long.
+SNAPSHOT_AGE = datetime.timedelta(hours=1)
 
 State = TypeVar("State")
 Raw: TypeAlias = tuple[ids.Offset, bytes]
@@ -70,7 +73,8 @@
     """What a call has changed.
 
     Attributes:
-        folded: The records that were folded, in order.
+        folded: The records that were folded, in order. Those before a restore
+            are left out.
         restored: The state was replaced by a later one before those records.
     """
 
@@ -92,6 +96,7 @@
         self._buffer_end = ids.Offset(0)
         self._log_end = ids.NO_OFFSET
         self._snapshot_time: datetime.timedelta | None = None
+        self._seen_snapshot: tuple[ids.Offset, datetime.timedelta] | None = None
 
     @property
     def state(self) -> State:
@@ -143,13 +148,13 @@
             usable.append((offset, data))
             expected = ids.Offset(expected + 1)
         folded = [self._fold_row(row) for row in usable]
-        return self._continue(folded, restored=False)
+        return Progress((*folded, *self._drain_buffer()))
 
     def take_snapshot(self, offset: ids.Offset, data: bytes) -> Progress:
         """Takes a peer's state up to and including an offset."""
         if not self._restore(offset, data):
             return Progress()
-        return self._continue([], restored=True)
+        return Progress(tuple(self._drain_buffer()), restored=True)
 
     def recent(
         self, from_offset: ids.Offset, limit_bytes: int
@@ -186,8 +191,7 @@
             processes: How many processes follow the stream; the random delay
                 grows with it.
         """
-        latest = self._fold.latest_snapshot(self._state)
-        if self.next_offset - 1 - latest <= interval or self.is_catching_up:
+        if not self._is_snapshot_old(now, interval):
             self._snapshot_time = None
             return False
         if self._snapshot_time is None:
@@ -198,6 +202,16 @@
         self._snapshot_time = now + SNAPSHOT_PATIENCE
         return True
 
+    def _is_snapshot_old(self, now: datetime.timedelta, interval: int) -> bool:
+        latest = self._fold.latest_snapshot(self._state)
+        if self._seen_snapshot is None or self._seen_snapshot[0] != latest:
+            self._seen_snapshot = (latest, now)
+        if self.next_offset == 0 or self.is_catching_up:
+            return False
+        if self.next_offset - 1 - latest > interval:
+            return True
+        return now - self._seen_snapshot[1] > SNAPSHOT_AGE
+
     def _take(self, rows: Iterable[Raw]) -> Progress:
         folded: list[Folded] = []
         restored = False
@@ -217,18 +231,20 @@
             folded += self._drain_buffer()
         return Progress(tuple(folded), restored)
 
-    def _continue(self, folded: list[Folded], restored: bool) -> Progress:
-        folded += self._drain_buffer()
-        return Progress(tuple(folded), restored)
-
     def _fold_row(self, row: Raw) -> Folded:
         offset, data = row
-        self._remember(row)
         try:
             envelope = records.decode(data)
         except exceptions.DecodeError:
+            self._remember(row)
             self._fold.skip(self._state, offset)
             return Folded(offset, None, None)
+        if isinstance(envelope.body, records.Snapshot):
+            # A peer folds the records in between and needs no state. It would
+            # push the other records out.
+            body = records.Snapshot(envelope.body.covers_offset, b"")
+            data = records.encode(dataclasses.replace(envelope, body=body))
+        self._remember((offset, data))
         outcome = self._fold.apply(self._state, offset, envelope)
         return Folded(offset, envelope, outcome)
 
