--- a/src/quetzalgauge/settings.py
+++ b/src/quetzalgauge/settings.py
@@ -19,6 +19,7 @@
 from quetzalgauge import findings
 from quetzalgauge import jsonc
 
+_DRAIN_MARGIN = datetime.timedelta(seconds=90)
 _MAX_SECONDS = 86400.0 * 365
 
 
@@ -213,8 +214,9 @@
         "Records of a stream between two snapshots.", default=2000
     )
     drain_timeout: Seconds = _described(
-        "Longest wait for the hand-over during a graceful shutdown.",
-        default=datetime.timedelta(seconds=30),
+        "Longest wait for the hand-over during a graceful shutdown; at least"
+        " 90 s above `order_linger`.",
+        default=datetime.timedelta(seconds=240),
     )
 
 
@@ -371,6 +373,16 @@
     return [(("default_deadline",), "must not exceed max_deadline")]
 
 
+def _check_drain(_: Any, result: Any) -> list[tuple[findings.Path, str]]:
+    if not isinstance(result, ControlSettings):
+        return []
+    # The core waits for answers of orders up to 60 s above order_linger. An
+    # earlier end would leave its fencing numbers open.
+    if result.drain_timeout >= result.order_linger + _DRAIN_MARGIN:
+        return []
+    return [(("drain_timeout",), "must be 90 s or more above order_linger")]
+
+
 def _check_timeouts(_: Any, result: Any) -> list[tuple[findings.Path, str]]:
     found: list[tuple[findings.Path, str]] = []
     if result is None:
@@ -394,5 +406,6 @@
     _check_peer_host,
     _check_peer_authority,
     _check_deadlines,
+    _check_drain,
     _check_timeouts,
 )
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,7 +6,9 @@
 import enum
 import json
 import socket
+import ssl
 
+import certificates
 import pytest
 import urllib3
 
@@ -39,13 +41,14 @@
 
 
 @contextlib.contextmanager
-def _serve(handlers):
-    server = operators.OperatorServer(_LISTEN, None, handlers)
+def _serve(handlers, tls=None, context=None):
+    server = operators.OperatorServer(_LISTEN, tls, handlers)
     server.start()
-    pool = urllib3.PoolManager(retries=False, timeout=5)
+    pool = urllib3.PoolManager(retries=False, timeout=5, ssl_context=context)
+    scheme = "https" if tls else "http"
 
     def call(method, path, body=None):
-        url = f"http://{server.address}{path}"
+        url = f"{scheme}://{server.address}{path}"
         answer = pool.request(method, url, body=body)
         with contextlib.suppress(ValueError):
             return answer.status, json.loads(answer.data)
@@ -154,6 +157,22 @@
             handle.close()
 
 
+def test_tls_needs_a_certificate_of_the_operator(tmp_path):
+    """Guards against an operator listener that anyone can drain."""
+    tls = certificates.make_tls(tmp_path)
+    context = ssl.create_default_context(cafile=tls.authority)
+    with _serve(_make_handlers([]), tls, context) as (call, address):
+        with pytest.raises((urllib3.exceptions.HTTPError, OSError)):
+            call("GET", "/healthz")
+        host, port = address.split(":")
+        # A handshake in the accept loop would block the next caller.
+        with socket.create_connection((host, int(port))) as silent:
+            silent.sendall(b"\x16")
+            context.load_cert_chain(tls.certificate, tls.key)
+            assert call("GET", "/healthz") == (200, {"ok": True})
+            assert call("GET", "/metrics") == (200, b"m 1\n")
+
+
 def test_any_state_becomes_plain_values():
     """Guards against a dump that fails on a type of the core."""
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -70,6 +70,24 @@
     assert str(loaded.peer_listen) == "127.0.0.1:7100"
 
 
+@pytest.mark.parametrize(
+    ("changes", "finding"),
+    [
+        ({"drain_timeout": 100}, "drain_timeout: must be 90 s or more above"),
+        ({"lease_duration": 0}, "lease_duration: must be above 0"),
+        ({"log_url": "http://log:1"}, "log_url: must be http(s)://IP-NUMBER"),
+        ({"log_url": "ftp://127.0.0.1:1"}, "log_url: must be http(s)://IP"),
+        ({"peer_tls": {"certificate": "c", "key": "k"}}, "peer_tls.authority"),
+        ({"order_linger": -1}, "order_linger: must be from 0 to"),
+        ({"instance": "a b"}, "instance: "),
+    ],
+)
+def test_values_that_do_not_fit_are_findings(changes, finding):
+    """Guards against a process that starts with unsafe settings."""
+    (text,) = _findings(json.dumps(_GOOD | changes))
+    assert finding in text
+
+
 @pytest.mark.parametrize("data", [None, b"\xff", b"", b"[]", b"nul"])
 def test_an_unreadable_file_gives_findings(tmp_path, data):
     """Guards against a traceback instead of an error message."""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,15 +5,14 @@
 import random
 import socket
 import struct
-import subprocess
 import threading
 import time
 
+import certificates
 import pytest
 import stubs
 
 from quetzalgauge import exceptions
-from quetzalgauge import settings
 from quetzalgauge import wire
 from quetzalgauge.gen import Peer
 from quetzalgauge.gen import ttypes
@@ -221,35 +220,10 @@
         wire.require_complete([ttypes.KeyReply(1, outcome)])
 
 
-def _openssl(*arguments):
-    subprocess.run(["openssl", *arguments], check=True, capture_output=True)
-
-
 @pytest.fixture(name="tls", scope="module")
 def make_tls(tmp_path_factory):
     """A certificate authority and a certificate for 127.0.0.1."""
-    path = tmp_path_factory.mktemp("tls")
-    curve = ["-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:P-256", "-nodes"]
-    _openssl(
-        *("req", "-x509", *curve, "-days", "2", "-subj", "/CN=test"),
-        *("-keyout", str(path / "ca.key"), "-out", str(path / "ca.pem")),
-    )
-    _openssl(
-        *("req", "-new", *curve, "-subj", "/CN=node"),
-        *("-keyout", str(path / "node.key"), "-out", str(path / "node.csr")),
-    )
-    (path / "san").write_text("subjectAltName=IP:127.0.0.1\n")
-    _openssl(
-        *("x509", "-req", "-days", "2", "-in", str(path / "node.csr")),
-        *("-CA", str(path / "ca.pem"), "-CAkey", str(path / "ca.key")),
-        *("-CAcreateserial", "-extfile", str(path / "san")),
-        *("-out", str(path / "node.pem")),
-    )
-    return settings.Tls(
-        certificate=str(path / "node.pem"),
-        key=str(path / "node.key"),
-        authority=str(path / "ca.pem"),
-    )
+    return certificates.make_tls(tmp_path_factory.mktemp("tls"))
 
 
 def test_tls_peers_check_each_other(tls):
