--- a/src/quetzalgauge/gateway.py
+++ b/src/quetzalgauge/gateway.py
@@ -603,22 +603,21 @@
     ) -> list[Action]:
         servable = call.servable
         assert servable is not None
-        queue = self._queues.get(servable)
-        if queue is None:
-            queue = admission.WaitingQueue()
-            self._queues[servable] = queue
         self._put_in_queue(token, call)
-        assert call.waiting is not None
-        queue.add(call.waiting)
         actions = self._pump(servable, now)
         actions += self._refuse_hopeless(servable, now)
-        for last in queue.take_excess(self._limits.queue_limit):
-            actions.append(
-                self._refuse(
-                    last.token, refusals.Code.QUEUE_FULL, "the queue is full"
-                )
+        return actions + self._refuse_excess(servable)
+
+    def _refuse_excess(self, servable: routing.Servable) -> list[Action]:
+        queue = self._queues.get(servable)
+        if queue is None:
+            return []
+        return [
+            self._refuse(
+                last.token, refusals.Code.QUEUE_FULL, "the queue is full"
             )
-        return actions
+            for last in queue.take_excess(self._limits.queue_limit)
+        ]
 
     def _put_in_queue(self, token: int, call: _Call) -> None:
         assert call.servable is not None
@@ -632,6 +631,12 @@
         call.waiting = admission.Waiting(
             token, priority, call.request.deadline, self._sequence
         )
+        queue = self._queues.get(call.servable)
+        if queue is None:
+            # Empty queues are dropped, so a retry may find none.
+            queue = admission.WaitingQueue()
+            self._queues[call.servable] = queue
+        queue.add(call.waiting)
 
     def _loads(
         self, servable: routing.Servable, now: datetime.timedelta
@@ -990,10 +995,8 @@
         if call.servable is None:
             return self._dispatch_plain(token, call, now)
         self._put_in_queue(token, call)
-        assert call.waiting is not None
-        # It was admitted before, so the limit does not apply.
-        self._queues[call.servable].add(call.waiting)
-        return self._pump(call.servable, now)
+        actions = self._pump(call.servable, now)
+        return actions + self._refuse_excess(call.servable)
 
     def _mark(
         self, call: _Call, failure: retries.Failure, now: datetime.timedelta
