--- a/src/quetzalgauge/exceptions.py
+++ b/src/quetzalgauge/exceptions.py
@@ -53,3 +53,7 @@
 
 class NotSentError(PlatformError):
     """There was no connection, so no byte of a request was sent."""
+
+
+class NoReplyError(QuetzalgaugeError):
+    """The control core did not reply in time."""
--- a/src/quetzalgauge/settings.py
+++ b/src/quetzalgauge/settings.py
@@ -341,6 +341,17 @@
 }
 
 
+def _check_peer_host(value: Any, _: Any) -> list[tuple[findings.Path, str]]:
+    found: list[tuple[findings.Path, str]] = []
+    for key, host, _port in _addresses(value):
+        ip = _ip_or_none(host)
+        if key == "peer_listen" and ip is not None and ip.is_unspecified:
+            # The log and the peers get this address.
+            message = "must be the address that peers connect to"
+            found.append(((key, "host"), message))
+    return found
+
+
 def _check_peer_authority(
     value: Any, result: Any
 ) -> list[tuple[findings.Path, str]]:
@@ -380,6 +391,7 @@
 _CHECKS: tuple[_Check, ...] = (
     _check_ports,
     _check_tls,
+    _check_peer_host,
     _check_peer_authority,
     _check_deadlines,
     _check_timeouts,
