--- a/src/quetzalgauge/settings.py
+++ b/src/quetzalgauge/settings.py
@@ -62,9 +62,11 @@
 # A duration in the settings file is a number of seconds.
 Seconds = Annotated[datetime.timedelta, pydantic.BeforeValidator(_seconds)]
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
-IpNumber = Annotated[str, pydantic.AfterValidator(_ip_number)]
+IP_NUMBER_RULE = pydantic.AfterValidator(_ip_number)
+IpNumber = Annotated[str, IP_NUMBER_RULE]
 FilePath = Annotated[pathlib.Path, pydantic.BeforeValidator(_file_path)]
-HttpUrl = Annotated[str, pydantic.AfterValidator(_http_url)]
+HTTP_URL_RULE = pydantic.AfterValidator(_http_url)
+HttpUrl = Annotated[str, HTTP_URL_RULE]
 Name = Annotated[
     str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=100)
 ]
