Load one replica in the region for a burst instead of one in each zone

Ruled out: a region-wide maximum of replicas (the decided maximum per zone stays; only the place of the next replica changes). Change: placement compares the best place of each zone that may have the model and takes the one with a cached checkpoint; ties go by rendezvous hashing, so all control processes agree.

--- a/src/quetzalgauge/demand.py
+++ b/src/quetzalgauge/demand.py
@@ -89,6 +89,11 @@
             if row.is_own and row.demand.waiting:
                 yield row.demand
 
+    def oldest_own_wait(self, servable: Servable) -> datetime.timedelta:
+        """Returns the longest wait at entry processes of this instance."""
+        waits = [demand.oldest_wait_s for demand in self.own(servable)]
+        return datetime.timedelta(seconds=max(waits, default=0.0))
+
     def last_wanted(self, servable: Servable) -> datetime.timedelta | None:
         """Returns when a model was last wanted, None if never."""
         return self._wanted.get(servable)
--- a/src/quetzalgauge/emulator.py
+++ b/src/quetzalgauge/emulator.py
@@ -195,6 +195,7 @@
         self._host = _Cache(site.host_cache_bytes)
         self._disk = _Cache(site.disk_cache_bytes)
         self.models: dict[ids.ModelName, Loaded] = {}
+        self.is_wanted: Callable[[ids.ModelName], bool] = lambda _: False
         self.on_ready: list[Callable[[], None]] = []
         self.loads: collections.Counter[messages.CacheTier] = (
             collections.Counter()
@@ -220,6 +221,10 @@
         names = {*self._disk, *self._host}
         return {name: self.tier(name) for name in sorted(names)}
 
+    def fill_disk(self, spec: ModelSpec) -> None:
+        """Puts a checkpoint on the target's disk before the trace starts."""
+        self._disk.use(spec.name, spec.memory_bytes)
+
     def load_time(self, spec: ModelSpec) -> datetime.timedelta:
         """Returns the time of a load at full speed."""
         speed = {
@@ -238,6 +243,8 @@
         self.loads[tier] += 1
         loaded = Loaded(spec, messages.ReplicaState.LOADING, slot, order_id)
         loaded.ready_at = self._clock.now + self.load_time(spec)
+        # The time of a load that nobody waits for counts as idle.
+        loaded.idle_since = self._clock.now
         self.models[spec.name] = loaded
         total = self._site.target_memory_bytes
         assert self.used_bytes <= total, f"{self.name} is overcommitted"
@@ -256,7 +263,10 @@
 
     def _become_ready(self, loaded: Loaded) -> None:
         loaded.state = messages.ReplicaState.READY
-        loaded.ready_at = loaded.idle_since = self._clock.now
+        loaded.ready_at = self._clock.now
+        if self.is_wanted(loaded.spec.name):
+            loaded.idle_since = self._clock.now
+        self._count_idle(loaded)
         self._host.use(loaded.spec.name, loaded.spec.memory_bytes)
         self._disk.use(loaded.spec.name, loaded.spec.memory_bytes)
         for call in self.on_ready:
@@ -394,6 +404,7 @@
         self._waits: list[Wait] = []
         self._cold: set[int] = set()
         for engine in self.engines.values():
+            engine.is_wanted = self._is_wanted
             engine.on_ready.append(self.dispatch)
 
     def run(
@@ -428,6 +439,11 @@
         """Returns the requests of one entry instance running for a model."""
         return self._running_of[entry, model]
 
+    def _is_wanted(self, model: ids.ModelName) -> bool:
+        return any(
+            queue for (_, name), queue in self.waiting.items() if name == model
+        )
+
     def _every_engine(self, entry: int, model: ids.ModelName) -> list[Engine]:
         return list(self.engines.values())
 
--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -1,6 +1,7 @@
 """Which slots to reserve, load, unload and move."""
 
 from collections.abc import Iterator
+import dataclasses
 import datetime
 import logging
 import math
@@ -37,12 +38,36 @@
     messages.CacheTier.REMOTE: 0.5e9,
 }
 
+# What room for a model costs on a target, in order of preference.
+_COST_FREE = 0
+_COST_RELEASE = 1
+_COST_UNLOAD = 2
+# Requests that wait longer, with no load in progress, show that the zone that
+# was chosen does not serve them.
+REGION_PATIENCE = datetime.timedelta(seconds=10)
+
 _PART = "placement"
 _LONG_AGO = datetime.timedelta(days=-1)
 
 _Place = tuple[ids.TargetId, ids.SlotId]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Offer:
+    """A place for one more replica of a model.
+
+    Attributes:
+        is_reserved: Whether the slot is reserved on the target already.
+        rank: The lowest of all zones' offers is taken. All control processes
+            compute it from the same log and the exchanged views.
+    """
+
+    target: ids.TargetId
+    slot: ids.SlotId
+    is_reserved: bool
+    rank: tuple[bool, bool, int, int]
+
+
 class Placement:
     """Decides on the slots of the targets that this process holds."""
 
@@ -221,55 +246,116 @@
     ) -> None:
         """Starts what demand for a model needs here, or finds who can."""
         ctx = self._ctx
-        zone = self._zone_for(servable.model)
         spec = plan_module.spec(ctx.catalog, servable.model, servable.version)
-        if zone is None or spec is None:
+        if spec is None:
             return
-        most = plan_module.max_replicas(ctx.catalog, servable.model, zone)
         requests = self._demands.requests(servable)
         needed = max(1, math.ceil(requests / views_module.MAX_RUNNING))
-        loaded = self._count_loaded(servable, zone)
-        if loaded >= most:
+        offers = []
+        loaded = 0
+        for zone in self._zones_for(servable, now):
+            count = self._count_loaded(servable, zone, now)
+            loaded += count
+            offer = self._offer(servable, spec, zone, count, now)
+            if offer is not None:
+                offers.append(offer)
+        if not offers:
             return
-        slots = [
-            ids.SlotId(servable.model, zone, index) for index in range(most)
-        ]
-        place = self._reserved_place(slots, servable, now)
-        if place is None:
-            place_target = self._unreserved_place(slots, spec, now)
-            if place_target is None:
-                return
-            target, slot = place_target
-        else:
-            target, slot = place
-        if not ctx.holds(target):
+        best = min(offers, key=lambda offer: offer.rank)
+        if not ctx.holds(best.target):
             # Also without need for a further replica: only the holder of the
             # next slot sees the demand of all entries together.
-            holder = ctx.ledger.targets[target].holder
+            holder = ctx.ledger.targets[best.target].holder
             if holder is not None:
                 forwards.setdefault(holder.instance, []).append(servable)
         elif loaded >= needed:
             return
-        elif place is not None:
-            self._load(target, slot, now)
-        elif slot not in ctx.ledger.slots:
-            self._place(slot, spec, now)
+        elif best.is_reserved:
+            self._load(best.target, best.slot, now)
+        elif best.slot not in ctx.ledger.slots:
+            self._place(best.slot, spec, now)
+
+    def _zones_for(
+        self, servable: demand_module.Servable, now: datetime.timedelta
+    ) -> list[ids.AvailabilityZone]:
+        """Returns the zones that may load a replica for waiting requests.
+
+        One replica anywhere in the region serves a burst, since the way
+        between zones takes about a millisecond and a load takes seconds.
+        """
+        ctx = self._ctx
+        zones = [
+            zone
+            for zone in plan_module.zones(ctx.catalog, servable.model)
+            if ctx.membership.engines(zone)
+        ]
+        if ctx.zone in zones and not self._helps_elsewhere(servable, now):
+            return [ctx.zone]
+        return zones
+
+    def _helps_elsewhere(
+        self, servable: demand_module.Servable, now: datetime.timedelta
+    ) -> bool:
+        """Whether another zone can be expected to serve waiting requests.
 
-    def _zone_for(self, model: ids.ModelName) -> ids.AvailabilityZone | None:
-        """Returns the zone that serves a model for this one's entries."""
+        A zone that is cut off, or that gets no answer from the chosen zone,
+        serves itself.
+        """
+        if not self._ctx.reading.is_current(now):
+            return False
+        if self._demands.oldest_own_wait(servable) < REGION_PATIENCE:
+            return True
+        return any(
+            replica.version == servable.version
+            and replica.state == ttypes.ReplicaState.LOADING
+            and self._is_usable(replica.target, now)
+            for replica in self._views.replicas(servable.model)
+        )
+
+    def _offer(
+        self,
+        servable: demand_module.Servable,
+        spec: plan_module.Spec,
+        zone: ids.AvailabilityZone,
+        loaded: int,
+        now: datetime.timedelta,
+    ) -> _Offer | None:
+        """Returns the best place in a zone for one more replica."""
         ctx = self._ctx
-        zones = plan_module.zones(ctx.catalog, model)
-        if ctx.zone in zones:
-            return ctx.zone
-        if not zones:
+        most = plan_module.max_replicas(ctx.catalog, servable.model, zone)
+        if loaded >= most:
             return None
-        return max(zones, key=lambda zone: context.weight(model, zone))
+        slots = [
+            ids.SlotId(servable.model, zone, index) for index in range(most)
+        ]
+        place = self._reserved_place(slots, servable, now)
+        is_reserved_place = place is not None
+        if place is None:
+            place = self._unreserved_place(slots, spec, now)
+        if place is None:
+            return None
+        target, slot = place
+        cost = 0
+        if not is_reserved_place:
+            cost = self._cost(target, slot, spec) or 0
+        is_cached = self._views.is_cached(target, slot.model, spec.version)
+        rank = (
+            cost == _COST_UNLOAD,
+            not is_cached,
+            cost,
+            context.weight(servable.model, zone),
+        )
+        return _Offer(target, slot, is_reserved_place, rank)
 
     def _count_loaded(
-        self, servable: demand_module.Servable, zone: ids.AvailabilityZone
+        self,
+        servable: demand_module.Servable,
+        zone: ids.AvailabilityZone,
+        now: datetime.timedelta,
     ) -> int:
         """Counts replicas that are ready or will be, and may get requests."""
         membership = self._ctx.membership
+        is_own = zone == self._ctx.zone
         slots = {
             replica.slot.index
             for replica in self._views.replicas(servable.model, zone)
@@ -277,6 +363,7 @@
             and replica.state != ttypes.ReplicaState.UNLOADING
             and not membership.is_leaving(replica.target)
             and not membership.is_absent(replica.target)
+            and (is_own or self._is_usable(replica.target, now))
         }
         slots |= {
             slot.index
@@ -592,7 +679,7 @@
             if cost is None:
                 continue
             key = (
-                cost == 2,
+                cost == _COST_UNLOAD,
                 not self._views.is_cached(target, slot.model, spec.version),
                 cost,
                 -self._ctx.ledger.unreserved_bytes(target),
@@ -605,13 +692,13 @@
     def _cost(
         self, target: ids.TargetId, slot: ids.SlotId, spec: plan_module.Spec
     ) -> int | None:
-        """Returns 0 for free memory, 1 for a release, 2 for an unload."""
+        """Returns what room for a model costs, None if it can't be made."""
         ledger = self._ctx.ledger
         if self._has_model(target, slot.model):
             return None
         free = ledger.unreserved_bytes(target)
         if free >= spec.memory_bytes:
-            return 0
+            return _COST_FREE
         if ledger.targets[target].accelerator_memory_bytes < spec.memory_bytes:
             return None
         if not ledger.older_numbers_closed(target):
@@ -621,7 +708,9 @@
             for reservation in ledger.reservations(target).values()
             if self._is_spare(target, reservation)
         )
-        return 1 if free + spare >= spec.memory_bytes else 2
+        if free + spare >= spec.memory_bytes:
+            return _COST_RELEASE
+        return _COST_UNLOAD
 
     def _has_model(self, target: ids.TargetId, model: ids.ModelName) -> bool:
         # A second replica of a model on one target would be no second replica.
