--- a/src/quetzalgauge/controller.py
+++ b/src/quetzalgauge/controller.py
@@ -31,6 +31,7 @@
 from quetzalgauge import settings as settings_module
 from quetzalgauge import submissions as submissions_module
 from quetzalgauge import views as views_module
+from quetzalgauge import warmup as warmup_module
 from quetzalgauge.gen import ttypes
 
 ZONE_INTERVAL = datetime.timedelta(seconds=1)
@@ -104,6 +105,9 @@
         self._placement = placement_module.Placement(
             ctx, self._leases, self._views, self._demands
         )
+        self._warmup = warmup_module.WarmUp(
+            ctx, self._views, self._demands, self._placement
+        )
         self._keys = keys_module.Keys(ctx)
         self._adapters = adapters_module.Adapters(ctx, self._leases)
         self._submissions = submissions_module.Submissions(
@@ -698,12 +702,15 @@
 
     def _review(self) -> None:
         now = self._now
+        ctx = self._ctx
         if self._needs_review:
             self._leases.review_held(now)
             for target in self._leases.held():
                 self._placement.review_target(target, now)
                 self._announce(target)
             self._placement.review_reservations(now)
+            if ctx.settings.warm_checkpoints:
+                self._warmup.review(now)
         if self._needs_review or self._needs_loads:
             self._placement.review_loads(now)
         self._needs_review = False
--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -42,6 +42,8 @@
 _COST_FREE = 0
 _COST_RELEASE = 1
 _COST_UNLOAD = 2
+# The notice of an unload, the next poll and the unload itself.
+EVICTION_TIME = datetime.timedelta(seconds=4)
 # Requests that wait longer, with no load in progress, show that the zone that
 # was chosen does not serve them.
 REGION_PATIENCE = datetime.timedelta(seconds=10)
@@ -65,7 +67,7 @@
     target: ids.TargetId
     slot: ids.SlotId
     is_reserved: bool
-    rank: tuple[bool, bool, int, int]
+    rank: tuple[datetime.timedelta, int, int]
 
 
 class Placement:
@@ -88,6 +90,8 @@
         self._retry: dict[_Place, datetime.timedelta] = {}
         self._started: dict[_Place, datetime.timedelta] = {}
         self._evicted: dict[_Place, datetime.timedelta] = {}
+        # Loads that were started with nobody waiting.
+        self._warmed: dict[_Place, datetime.timedelta] = {}
         self._remote_starts: list[datetime.timedelta] = []
         self._sent: dict[
             tuple[ids.InstanceId, demand_module.Servable], datetime.timedelta
@@ -124,6 +128,7 @@
         for place in [p for p in self._used if p[0] == target]:
             if place[1] not in loaded:
                 del self._used[place]
+                self._warmed.pop(place, None)
         for place in [p for p in self._started if p[0] == target]:
             # An accepted load that the status does not show has failed.
             if self._is_status_after_orders(*place):
@@ -218,7 +223,7 @@
         self._reserved_mark = mark
         free = {
             target: ctx.ledger.unreserved_bytes(target)
-            for target in self._usable(ctx.zone, now)
+            for target in self.usable_targets(ctx.zone, now)
         }
         count = 0
         for slot, spec, is_kept in self._wanted_slots(now):
@@ -338,10 +343,8 @@
         cost = 0
         if not is_reserved_place:
             cost = self._cost(target, slot, spec) or 0
-        is_cached = self._views.is_cached(target, slot.model, spec.version)
         rank = (
-            cost == _COST_UNLOAD,
-            not is_cached,
+            self._expected_load(target, slot, spec, cost),
             cost,
             context.weight(servable.model, zone),
         )
@@ -442,9 +445,10 @@
             return False
         return self._leases.live_holder(target, now) is not None
 
-    def _usable(
+    def usable_targets(
         self, zone: ids.AvailabilityZone, now: datetime.timedelta
     ) -> list[ids.TargetId]:
+        """Returns the engines of a zone that can take a load now."""
         return [
             target
             for target in self._ctx.membership.engines(zone)
@@ -556,15 +560,18 @@
         ]
         if len(self._remote_starts) >= share:
             return False
+        # A load that nobody waits for must not hold back one that is needed.
         loading = sum(
             replica.state == ttypes.ReplicaState.LOADING
+            and (target, views_module.slot_of(replica)) not in self._warmed
             and not self._views.is_cached(
                 target, replica.slot.model, replica.version
             )
             for target in ctx.membership.engines(ctx.zone)
             for replica in self._replicas_on(target)
         )
-        return loading + len(self._started) < share
+        started = sum(place not in self._warmed for place in self._started)
+        return loading + started < share
 
     def _replicas_on(self, target: ids.TargetId) -> list:
         state = self._views.state(target)
@@ -668,19 +675,18 @@
         spec: plan_module.Spec,
         now: datetime.timedelta,
     ) -> ids.TargetId | None:
-        """Returns the best target of a zone, cached checkpoint first.
+        """Returns the target of a zone that is expected to be ready first.
 
-        A target whose other reservations have to move counts after free ones,
-        and one that has to unload an idle model first counts last.
+        Among equal ones, free memory goes before memory that other
+        reservations have to leave.
         """
         best = None
-        for target in self._usable(slot.availability_zone, now):
+        for target in self.usable_targets(slot.availability_zone, now):
             cost = self._cost(target, slot, spec)
             if cost is None:
                 continue
             key = (
-                cost == _COST_UNLOAD,
-                not self._views.is_cached(target, slot.model, spec.version),
+                self._expected_load(target, slot, spec, cost),
                 cost,
                 -self._ctx.ledger.unreserved_bytes(target),
                 context.weight(str(slot), target),
@@ -689,6 +695,23 @@
                 best = (key, target)
         return None if best is None else best[1]
 
+    def _expected_load(
+        self,
+        target: ids.TargetId,
+        slot: ids.SlotId,
+        spec: plan_module.Spec,
+        cost: int,
+    ) -> datetime.timedelta:
+        """Returns about how long a load takes, with the room it needs."""
+        tier = messages.CacheTier.REMOTE
+        if self._views.is_cached(target, slot.model, spec.version):
+            tier = messages.CacheTier.DISK
+        seconds = spec.memory_bytes / _TIER_RATES[tier]
+        expected = datetime.timedelta(seconds=seconds)
+        if cost == _COST_UNLOAD:
+            expected += EVICTION_TIME
+        return expected
+
     def _cost(
         self, target: ids.TargetId, slot: ids.SlotId, spec: plan_module.Spec
     ) -> int | None:
@@ -746,8 +769,18 @@
         if not ctx.reading.is_current(now):
             return
         target = self._best_target(slot, spec, now)
-        if target is None or not ctx.holds(target):
-            return
+        if target is not None and ctx.holds(target):
+            self.place_on(target, slot, spec, now)
+
+    def place_on(
+        self,
+        target: ids.TargetId,
+        slot: ids.SlotId,
+        spec: plan_module.Spec,
+        now: datetime.timedelta,
+    ) -> None:
+        """Reserves a slot on a held target, making room if needed."""
+        ctx = self._ctx
         if not self._leases.can_order(target):
             return
         free = ctx.ledger.unreserved_bytes(target) - self._proposed_bytes(
@@ -758,6 +791,27 @@
         if free >= spec.memory_bytes:
             self._reserve(target, slot, spec)
 
+    def has_spare_room(
+        self, target: ids.TargetId, slot: ids.SlotId, spec: plan_module.Spec
+    ) -> bool:
+        """Whether a slot fits on a target without unloading anything."""
+        cost = self._cost(target, slot, spec)
+        return cost is not None and cost < _COST_UNLOAD
+
+    def warm(
+        self,
+        target: ids.TargetId,
+        slot: ids.SlotId,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Loads a reserved slot that nobody waits for; True if ordered."""
+        self._load(target, slot, now)
+        place = (target, slot)
+        if self._started.get(place) != now:
+            return False
+        self._warmed[place] = now
+        return True
+
     def _proposed_bytes(self, target: ids.TargetId) -> int:
         return sum(
             body.memory_bytes
@@ -914,6 +968,8 @@
         if model.running or model.waiting:
             return False
         idle = now - self._last_used(target, model, now)
+        if self._is_only_warmed(target, model):
+            return idle > MIN_IDLE
         tier = status.cached.get(
             (slot.model, model.version), messages.CacheTier.REMOTE
         )
@@ -923,6 +979,17 @@
         )
         return idle > max(MIN_IDLE, limit)
 
+    def _is_only_warmed(
+        self, target: ids.TargetId, model: messages.ModelStatus
+    ) -> bool:
+        """Whether a model was loaded for the cache and not wanted since."""
+        warmed = self._warmed.get((target, model.slot))
+        if warmed is None:
+            return False
+        servable = demand_module.Servable(model.model, model.version)
+        wanted = self._demands.last_wanted(servable)
+        return wanted is None or wanted < warmed
+
     def _last_used(
         self,
         target: ids.TargetId,
--- a/src/quetzalgauge/settings.py
+++ b/src/quetzalgauge/settings.py
@@ -198,6 +198,11 @@
             default=10.0,
         )
     )
+    warm_checkpoints: bool = _described(
+        "Load each model once while the region is quiet, so that a target has"
+        " its checkpoint cached.",
+        default=True,
+    )
     loads_at_once: Count = _described(
         "Loads from the weight store at once, in the whole region.", default=4
     )
