--- a/tests/test_control_invariants.py
+++ b/tests/test_control_invariants.py
@@ -201,13 +201,20 @@
 def reserve_one_slot_twice():
     world = control_fakes.World()
     key = ("report", "v1")
+    for index in range(4):
+        world.add_target(f"lm-{index}")
     for index in range(2):
-        target = world.add_target(f"lm-{index}")
-        target.cached[key] = messages.CacheTier.DISK
         world.start(f"node-{index}")
     # Each sees only its own cache, so each thinks its own target is best.
     world.isolated.update(world.controllers)
-    world.run(5)
+    world.run(15)
+    assert {world.holder(target) for target in world.targets} == {
+        "node-0",
+        "node-1",
+    }
+    for target in world.targets.values():
+        target.cached[key] = messages.CacheTier.DISK
+    world.run(2)
     # Both propose before either has read what the other proposed.
     read = world._read
     world._read = lambda name, stream, tick: (
