Restart draining processes at the end of the fault machine

A process that was still draining stopped during the final check and kept its last routes, so the check for liveness failed with more examples.

--- a/src/quetzalgauge/adapters.py
+++ b/src/quetzalgauge/adapters.py
@@ -239,7 +239,10 @@
             return False
         oldest = min(
             model.adapters,
-            key=lambda other: self._used.get((target, other), _LONG_AGO),
+            key=lambda other: (
+                self._used.get((target, other), _LONG_AGO),
+                other,
+            ),
             default=None,
         )
         if oldest is None:
--- a/tests/test_control_invariants.py
+++ b/tests/test_control_invariants.py
@@ -157,7 +157,10 @@
         for name in NODES:
             world.demand[name].clear()
             world.drop_connections(name)
-            if name in world.stopped or name not in world.controllers:
+            process = world.controllers.get(name)
+            if process is None or process.dump()["draining"]:
+                world.start(name)
+            elif name in world.stopped:
                 world.start(name)
             world.unlisted.discard(name)
         self.publish(1, "v1")
