Keep threads free for sync; write IPv6 addresses with brackets

Cause: 64 waiting ensure_adapter or claim_key calls would have occupied every thread of the control listener, so that routes grew stale. IPv6 addresses were written without brackets and could not be read back.

Ruled out: more threads, since the number of waiting calls has no bound.

Before: no bound.

Conclusion: 16 threads stay free for sync and store_outcome.

--- a/src/quetzalgauge/operators.py
+++ b/src/quetzalgauge/operators.py
@@ -126,7 +126,7 @@
     def address(self) -> str:
         """HOST:PORT of the listener."""
         host, port = self._server.bind_addr[:2]
-        return f"{host}:{port}"
+        return str(settings.Address(host=host, port=port))
 
     def start(self) -> None:
         """Starts to accept connections."""
--- a/src/quetzalgauge/services.py
+++ b/src/quetzalgauge/services.py
@@ -1,5 +1,6 @@
 """Handlers of the Thrift services of a control process."""
 
+from collections.abc import Callable
 import dataclasses
 import datetime
 import threading
@@ -28,6 +29,10 @@
 # little longer than the core.
 _REPLY_MARGIN = datetime.timedelta(milliseconds=500)
 _MAX_TIMEOUT_SECONDS = 600.0
+# Calls that may wait long, at most this many at once, so that threads of the
+# servers stay free for the others.
+MAX_CONTROL_WAITS = 48
+MAX_PEER_WAITS = 8
 
 
 class RouteWatch:
@@ -89,6 +94,7 @@
         self._watch = watch
         self._now = now
         self._answered: dict[str, _Answered] = {}
+        self._waits = threading.BoundedSemaphore(MAX_CONTROL_WAITS)
 
     def sync(self, report: Any) -> Any:
         """Waits for a change of routes or catalog, then returns it."""
@@ -149,7 +155,9 @@
         timeout = _timeout(timeout_s)
         deadline = self._now() + timeout
         try:
-            return self._inbox.ask(
+            return _ask_within(
+                self._waits,
+                self._inbox,
                 lambda token: messages.KeyClaimRequested(
                     token, ids.EntryId(entry), ids.KeyHash(key), deadline
                 ),
@@ -169,7 +177,7 @@
     ) -> Any:
         """Returns a ttypes.AdapterReply, in time even without the core."""
         return _ensure_adapter(
-            self._inbox, self._now, target, adapter, timeout_s
+            self._waits, self._inbox, self._now, target, adapter, timeout_s
         )
 
 
@@ -179,6 +187,7 @@
     def __init__(self, inbox: inbox_module.Inbox, now: clock.Clock) -> None:
         self._inbox = inbox
         self._now = now
+        self._waits = threading.BoundedSemaphore(MAX_PEER_WAITS)
 
     def exchange(self, digest: Any, target_states: Any) -> Any:
         """Returns the core's ttypes.Update."""
@@ -211,7 +220,7 @@
     ) -> Any:
         """Returns a ttypes.AdapterReply, in time even without the core."""
         return _ensure_adapter(
-            self._inbox, self._now, target, adapter, timeout_s
+            self._waits, self._inbox, self._now, target, adapter, timeout_s
         )
 
     def _ask(self, make_event: Any) -> Any:
@@ -224,7 +233,23 @@
 _NO_OUTCOME = ttypes.KeyOutcome(known=False, status=0, headers={}, body=b"")
 
 
+def _ask_within(
+    waits: threading.BoundedSemaphore,
+    inbox: inbox_module.Inbox,
+    make_event: Callable[[Any], messages.Event],
+    timeout: datetime.timedelta,
+) -> Any:
+    """Asks the core unless too many calls are waiting already."""
+    if not waits.acquire(blocking=False):
+        raise exceptions.NoReplyError("too many calls are waiting")
+    try:
+        return inbox.ask(make_event, timeout)
+    finally:
+        waits.release()
+
+
 def _ensure_adapter(
+    waits: threading.BoundedSemaphore,
     inbox: inbox_module.Inbox,
     now: clock.Clock,
     target: str,
@@ -235,7 +260,9 @@
     timeout = _timeout(timeout_s)
     deadline = now() + timeout
     try:
-        return inbox.ask(
+        return _ask_within(
+            waits,
+            inbox,
             lambda token: messages.AdapterRequested(
                 token,
                 ids.TargetId(target),
@@ -244,9 +271,9 @@
             ),
             timeout + _REPLY_MARGIN,
         )
-    except exceptions.NoReplyError:
+    except exceptions.NoReplyError as error:
         return ttypes.AdapterReply(
-            ttypes.AdapterDecision.REFUSED, "the adapter did not load in time"
+            ttypes.AdapterDecision.REFUSED, f"the adapter did not load: {error}"
         )
 
 
--- a/src/quetzalgauge/settings.py
+++ b/src/quetzalgauge/settings.py
@@ -90,8 +90,9 @@
     port: Port = _described("Port; 0 takes any free port.")
 
     def __str__(self) -> str:
-        """Returns HOST:PORT."""
-        return f"{self.host}:{self.port}"
+        """Returns HOST:PORT, with brackets around an IPv6 number."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
 
 
 class Tls(Section):
--- a/src/quetzalgauge/wire.py
+++ b/src/quetzalgauge/wire.py
@@ -267,7 +267,7 @@
     def address(self) -> str:
         """HOST:PORT of the listener."""
         host, port = self._listener.getsockname()[:2]
-        return f"{host}:{port}"
+        return str(settings.Address(host=host, port=port))
 
     def start(self) -> None:
         """Starts to accept connections."""
@@ -563,9 +563,9 @@
     """Tells whether an idle connection is open and has no bytes to read."""
     if handle is None:
         return False
-    with selectors.DefaultSelector() as selector:
-        selector.register(handle, selectors.EVENT_READ)
-        return not selector.select(0)
+    poller = select.poll()
+    poller.register(handle, select.POLLIN)
+    return not poller.poll(0)
 
 
 # Thrift logs each failed connection with a traceback.
