Report cold demand at once and close gaps found in review

Cause: a cold request waited for the end of the long poll, up to 250 ms, before control heard of it; a refused adapter was retried until the budget was spent; a cancellation between an action and its attempt was lost; connections opened in advance held worker threads for 10 s. Change: an urgent report beside the long poll; a refused adapter is tried once at each replica and then refused with no_capacity; the owner task makes each attempt; TCP_DEFER_ACCEPT; an unexpected failure of a worker gives its place on the target back and is answered with target_failed.

--- a/src/quetzalgauge/callers.py
+++ b/src/quetzalgauge/callers.py
@@ -19,7 +19,6 @@
 import re
 import select
 import socket
-import threading
 from typing import Any
 import uuid
 
@@ -117,22 +116,20 @@
 
     def __init__(self, token: int) -> None:
         self.token = token
-        self.actions: queue.SimpleQueue[gateway.Action] = queue.SimpleQueue()
-        self._attempt: targets.Attempt | None = None
-        self._lock = threading.Lock()
+        self.attempt = targets.Attempt()
+        self._actions: queue.SimpleQueue[gateway.Action] = queue.SimpleQueue()
 
-    def new_attempt(self) -> targets.Attempt:
-        """Starts an attempt that the owner task may end."""
-        with self._lock:
-            self._attempt = targets.Attempt()
-            return self._attempt
+    def put(self, action: gateway.Action) -> None:
+        """Gives an action to the worker; only the owner task calls this."""
+        if isinstance(action, gateway.Send):
+            # Made here and not by the worker, so that a cancellation right
+            # after this action reaches the new attempt.
+            self.attempt = targets.Attempt()
+        self._actions.put(action)
 
-    def end_attempt(self, reason: retries.Failure) -> None:
-        """Ends the attempt in progress, if any."""
-        with self._lock:
-            attempt = self._attempt
-        if attempt is not None:
-            attempt.end(reason)
+    def get(self) -> gateway.Action:
+        """Waits for the next action."""
+        return self._actions.get()
 
 
 class CallerWatch:
@@ -513,7 +510,7 @@
     def run(self) -> None:
         """Carries out actions until the last one."""
         try:
-            while not self._carry_out(self._call.actions.get()):
+            while not self._carry_out(self._call.get()):
                 pass
         finally:
             if self._opened is not None:
@@ -595,7 +592,7 @@
         self._sends += 1
         if self._sends > 1:
             self._parts.meters.count_retry()
-        attempt = self._call.new_attempt()
+        attempt = self._call.attempt
         connection = None
         try:
             connection = self._take_connection(action)
@@ -766,12 +763,22 @@
     def simple_response(self, status: Any, msg: str = "") -> None:
         """Writes a refusal and closes the connection."""
         number = int(str(status)[:3])
-        code = refusals.Code.BAD_REQUEST
-        if number in (413, 414):
-            code = refusals.Code.BODY_TOO_LARGE
         refusal = refusals.Refusal(
-            code, msg or "the request is not valid HTTP", ids.RequestId("")
+            refusals.Code.BAD_REQUEST,
+            msg or "the request is not valid HTTP",
+            ids.RequestId(""),
         )
+        if number in (413, 414):
+            refusal = dataclasses.replace(
+                refusal, code=refusals.Code.BODY_TOO_LARGE
+            )
+        elif number >= 500:
+            refusal = refusals.Refusal(
+                refusals.Code.TARGET_FAILED,
+                "internal error, see the log",
+                ids.RequestId(""),
+                refusals.Run.UNKNOWN,
+            )
         body = refusals.encode(refusal)
         head = (
             f"HTTP/1.1 {refusal.status} "
@@ -805,6 +812,17 @@
     timeout = CALLER_TIMEOUT_SECONDS
     keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
 
+    def prepare(self) -> None:
+        """Binds the listener."""
+        super().prepare()
+        # Cheroot waits for a first request in a worker thread, so connections
+        # that a balancer opens in advance would hold all of them.
+        self.socket.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_DEFER_ACCEPT,
+            CALLER_TIMEOUT_SECONDS,
+        )
+
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
--- a/src/quetzalgauge/controllink.py
+++ b/src/quetzalgauge/controllink.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import contextlib
 import datetime
 import math
 from typing import Any
@@ -58,6 +59,13 @@
         wire.require_complete(update)
         return decode_routes(update)
 
+    def send_urgent(self, report: gateway.SendReport) -> None:
+        """Reports demand at once. The next `sync` brings the news."""
+        with contextlib.suppress(exceptions.PeerError):
+            self._client.call(
+                "sync", self._encode_report(report), timeout=SYNC_TIMEOUT
+            )
+
     def claim_key(
         self, key: ids.KeyHash, timeout: datetime.timedelta
     ) -> tuple[gateway.KeyDecision, gateway.StoredOutcome | None]:
@@ -180,10 +188,17 @@
     """
     replicas = service_targets = None
     if update.routes_changed:
+        # One bad address must not keep back all other routes.
         replicas = tuple(
-            replica for replica in map(_decode_replica, update.replicas)
+            _decode_replica(one)
+            for one in update.replicas
+            if _is_address(one.address)
+        )
+        service_targets = tuple(
+            _decode_target(one)
+            for one in update.service_targets
+            if _is_address(one.address)
         )
-        service_targets = tuple(map(_decode_target, update.service_targets))
     return gateway.RoutesReceived(
         update.routes_version,
         update.catalog_version,
@@ -204,6 +219,14 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    try:
+        wire.parse_address(text)
+    except exceptions.DecodeError:
+        return False
+    return True
+
+
 def _model(entry: Any) -> gateway.Model:
     return gateway.Model(
         ids.ModelName(entry.model),
--- a/src/quetzalgauge/entry.py
+++ b/src/quetzalgauge/entry.py
@@ -51,6 +51,9 @@
         self._reports: queue.SimpleQueue[gateway.SendReport | None] = (
             queue.SimpleQueue()
         )
+        self._urgent: queue.SimpleQueue[gateway.SendReport] = (
+            queue.SimpleQueue()
+        )
         self._calls: dict[int, callers.Call] = {}
         self._stopped = threading.Event()
         self._cut = 0
@@ -114,6 +117,7 @@
             ("owner", self._run_owner),
             ("watch", self._watch.run),
             ("sync", self._run_sync),
+            ("urgent", self._run_urgent),
             ("callers", self._server.serve),
         ):
             threading.Thread(
@@ -187,6 +191,8 @@
 
     def _carry_out(self, action: gateway.Action) -> None:
         match action:
+            case gateway.SendReport(urgent=True):
+                self._urgent.put(action)
             case gateway.SendReport():
                 self._reports.put(action)
             case gateway.Stop():
@@ -194,9 +200,9 @@
                 self._reports.put(None)
                 self._stopped.set()
             case gateway.CancelAttempt():
-                self._calls[action.token].end_attempt(action.failure)
+                self._calls[action.token].attempt.end(action.failure)
             case _:
-                self._calls[action.token].actions.put(action)
+                self._calls[action.token].put(action)
 
     def _ask_report(self) -> gateway.SendReport | None:
         if self._stopped.is_set():
@@ -204,6 +210,14 @@
         self._inbox.put(gateway.ReportWanted())
         return self._reports.get()
 
+    def _run_urgent(self) -> None:
+        while True:
+            report = self._urgent.get()
+            # Each report has all demand, so the latest one is enough.
+            while not self._urgent.empty():
+                report = self._urgent.get()
+            self._link.send_urgent(report)
+
     def _run_sync(self) -> None:
         controllink.run_sync(
             self._link, self._ask_report, self._inbox.put, self._stopped.wait
--- a/src/quetzalgauge/gateway.py
+++ b/src/quetzalgauge/gateway.py
@@ -355,7 +355,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendReport:
-    """Report to control."""
+    """Report to control.
+
+    An urgent one goes out at once, beside the long poll in progress, because
+    a cold start would otherwise wait for the end of that poll.
+    """
 
     routes_version: int
     catalog_version: int
@@ -363,6 +367,7 @@
     in_flight: dict[ids.TargetId, int]
     suspects: tuple[ids.TargetId, ...]
     draining: bool
+    urgent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -632,10 +637,14 @@
             replica.state is messages.ReplicaState.READY
             for replica in self._replicas.get(servable, ())
         )
+        is_new = servable not in self._queues
         self._put_in_queue(token, call)
         actions = self._pump(servable, now)
         actions += self._refuse_hopeless(servable, now)
-        return actions + self._refuse_excess(servable)
+        actions += self._refuse_excess(servable)
+        if call.cold and is_new and call.phase is _Phase.WAITING:
+            actions.append(self._make_report(now, urgent=True))
+        return actions
 
     def _refuse_excess(self, servable: routing.Servable) -> list[Action]:
         queue = self._queues.get(servable)
@@ -947,11 +956,32 @@
             key = (call.target.target, call.adapter)
             self._resident[key] = now + RESIDENCY_TIME
             if now < call.request.deadline:
-                if not self._is_usable(call):
+                if call.caller_gone or not self._is_usable(call):
                     return self._choose_again(event.token, call, now)
                 return self._open_or_send(event.token, call, now)
-        return self._failed(
-            event.token, call, retries.Failure.ADAPTER_NOT_LOADED, now
+        return self._adapter_refused(event.token, call, now)
+
+    def _adapter_refused(
+        self, token: int, call: _Call, now: datetime.timedelta
+    ) -> list[Action]:
+        """Tries the other replicas, each once; control has waited already."""
+        assert call.servable is not None
+        failure = retries.Failure.ADAPTER_NOT_LOADED
+        others = {
+            replica.target
+            for replica in self._replicas.get(call.servable, ())
+            if replica.state is messages.ReplicaState.READY
+        } - call.tried
+        is_late = now >= call.request.deadline
+        if others or is_late or call.caller_gone:
+            return self._failed(token, call, failure, now)
+        call.failures.append(failure)
+        return self._give_up(
+            token,
+            call,
+            refusals.Code.NO_CAPACITY,
+            "no replica could load the adapter",
+            now,
         )
 
     def _attempt_ended(
@@ -1203,6 +1233,10 @@
         call = self._calls.pop(event.token)
         if call.request.stream:
             self._streams -= 1
+        # The worker of a call that failed unexpectedly gives no other event.
+        actions = self._leave_target(call, now)
+        if call.waiting is not None and call.servable is not None:
+            self._queues[call.servable].remove(call.waiting)
         self._finish(call)
         key = call.request.key
         owns = key is not None and (
@@ -1213,7 +1247,7 @@
         ):
             assert key is not None
             del self._open_keys[key]
-        return self._stop_when_drained(now)
+        return actions + self._stop_when_drained(now)
 
     # ---- Routes, reports and time
 
@@ -1320,6 +1354,11 @@
     def _report_wanted(
         self, event: ReportWanted, now: datetime.timedelta
     ) -> list[Action]:
+        return [self._make_report(now)]
+
+    def _make_report(
+        self, now: datetime.timedelta, urgent: bool = False
+    ) -> SendReport:
         demands: dict[routing.Servable, Demand] = {}
         for call in self._calls.values():
             if call.servable is None or call.phase is _Phase.FINISHED:
@@ -1337,16 +1376,15 @@
                 max(old.oldest_wait, waited),
                 max(old.priority, priority),
             )
-        return [
-            SendReport(
-                self._routes_version,
-                self._catalog_version,
-                tuple(demands.values()),
-                dict(self._in_flight),
-                tuple(self._marks.suspect),
-                not self._drain.accepts,
-            )
-        ]
+        return SendReport(
+            self._routes_version,
+            self._catalog_version,
+            tuple(demands.values()),
+            dict(self._in_flight),
+            tuple(self._marks.suspect),
+            not self._drain.accepts,
+            urgent,
+        )
 
     def _tick(self, event: Tick, now: datetime.timedelta) -> list[Action]:
         actions = self._end_grace(now)
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -217,6 +217,7 @@
         self.models: list[Any] = []
         self.adapters: list[Any] = []
         self.version = 1
+        self.poll_time = 0.1
         self.claims: list[int] = []
         self.outcomes: dict[int, Any] = {}
         self.key_decision = ttypes.KeyDecision.RUN
@@ -234,9 +235,10 @@
 
     def sync(self, report: Any) -> Any:
         self.reports.append(report)
-        until = time.monotonic() + 0.1
+        start = time.monotonic()
         while (
-            report.routes_version == self.version and time.monotonic() < until
+            report.routes_version == self.version
+            and time.monotonic() < start + self.poll_time
         ):
             time.sleep(0.01)
         changed = report.routes_version != self.version
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -70,6 +70,7 @@
         control.add_model("gone", gone)
         control.add_model("cold")
         control.add_adapter("loft", "single")
+        control.add_adapter("loft2", "single")
         control.add_service("one", target)
         control.add_service("gone", gone)
         control.add_service("half", gone, target)
@@ -432,6 +433,18 @@
     assert len(control.adapter_calls) == 2
 
 
+def test_refused_adapter_is_answered_at_once(world):
+    """Guards against retries of an adapter that no replica can load."""
+    entry, control, *_ = world
+    control.adapter_decision = ttypes.AdapterDecision.REFUSED
+    try:
+        reply = entry.complete("loft2", headers={"X-Deadline-Ms": "900"})
+    finally:
+        control.adapter_decision = ttypes.AdapterDecision.RESIDENT
+    assert (reply.code, reply.run) == ("no_capacity", "not_run")
+    assert control.adapter_calls == [("lm-1", "loft2")]
+
+
 # ---- Hostile bytes
 
 
@@ -519,14 +532,15 @@
 
 
 def test_silent_callers_do_not_block_others(world):
-    """Guards against callers that hold all worker threads."""
+    """Guards against callers that hold all of the 64 worker threads."""
     entry, *_ = world
     with contextlib.ExitStack() as stack:
-        for _ in range(30):
+        for number in range(130):
             handle = stack.enter_context(
                 socket.create_connection(("127.0.0.1", entry.port), 5)
             )
-            handle.sendall(b"POST /v1/comp")
+            if number < 30:
+                handle.sendall(b"POST /v1/comp")
         assert entry.complete("single").status == 200
 
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -132,6 +132,29 @@
     assert targets[0].received == []
 
 
+def test_cold_demand_is_reported_at_once(started):
+    """Guards against a cold start that waits for the end of a long poll."""
+    entry, control = started
+    control.poll_time = 3.0
+    reports = len(control.reports)
+    entry_fakes.wait_for(lambda: len(control.reports) > reports)
+    start = time.monotonic()
+    caller = threading.Thread(
+        target=entry.complete,
+        args=("cold",),
+        kwargs={"headers": {"X-Deadline-Ms": "800"}},
+    )
+    caller.start()
+    try:
+        assert entry_fakes.wait_for(
+            lambda: any(one.demands for one in control.reports), 1
+        )
+        assert time.monotonic() - start < 0.5
+    finally:
+        control.poll_time = 0.0
+        caller.join()
+
+
 def test_absent_control_interrupts_nothing(started, targets):
     """Guards against routes or streams that end with the control process."""
     entry, control = started
