--- a/src/quetzalgauge/callers.py
+++ b/src/quetzalgauge/callers.py
@@ -19,7 +19,6 @@
 import re
 import select
 import socket
-import time
 from typing import Any
 import uuid
 
@@ -43,7 +42,6 @@
 # Longest pause of a caller while it sends a request or takes an answer.
 CALLER_TIMEOUT_SECONDS = 10
 KEEP_ALIVE_CONNECTIONS = 2000
-JOIN_SECONDS = 0.004
 MAX_DISCARDED_BYTES = 8 * 1_048_576
 
 _COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
@@ -718,9 +716,6 @@
                 data = client.read(response, self._deadline, attempt)
                 if not data:
                     raise targets.AttemptError(retries.Failure.CUT)
-                if self._writer.is_started:
-                    # Joins events that arrive within a few milliseconds.
-                    time.sleep(JOIN_SECONDS)
                 data = events.feed(data)
                 if data:
                     if not self._writer.is_started:
