--- a/src/quetzalgauge/loopback.py
+++ b/src/quetzalgauge/loopback.py
@@ -21,6 +21,8 @@
 import time
 from typing import Any
 
+import urllib3
+
 from quetzalgauge import exceptions
 from quetzalgauge import loaddriver
 
@@ -29,6 +31,8 @@
 _TAIL_CHARACTERS = 2000
 # Either NAME=HOST:PORT or, in the order of the settings, HOST:PORT.
 _ADDRESS = re.compile(r"(?:(\w+)=)?([0-9.]+:[0-9]+)")
+# A process may close an idle connection just when a call is sent on it.
+_NEW_CONNECTION = {"Connection": "close"}
 _HOST = "127.0.0.1"
 
 
@@ -137,17 +141,11 @@
 
     def end(self) -> None:
         """Ends the process by any means; for clean-up."""
-        if self._child is None:
-            return
-        with contextlib.suppress(ProcessLookupError):
-            # A stopped process does not act on SIGTERM.
-            self._child.send_signal(signal.SIGCONT)
-            self._child.terminate()
-        try:
-            self._child.wait(_STOP_SECONDS)
-        except subprocess.TimeoutExpired:
+        if self._child is not None:
             self._child.kill()
             self._child.wait()
+            assert self._child.stdout is not None
+            self._child.stdout.close()
 
     @staticmethod
     def _read(
@@ -181,8 +179,11 @@
             for key, (name, address) in zip(listeners, found, strict=False)
         }
         for key, address in self.addresses.items():
-            # A restarted process takes the same ports.
-            self.values[key] = make_address(address)
+            # A restarted process takes the same ports. Cheroot does not set
+            # SO_REUSEADDR on a port that the kernel chose, so such a port
+            # cannot be taken again at once.
+            if key != "operator_listen":
+                self.values[key] = make_address(address)
 
 
 def _listener_key(name: str) -> str:
@@ -342,7 +343,7 @@
         return statuses
 
     def end(self) -> None:
-        """Ends all processes by any means."""
+        """Ends all processes by any means; for clean-up."""
         for process in self.processes():
             process.end()
 
@@ -400,7 +401,13 @@
             control = next(iter(self.controls.values()))
             address = control.addresses["operator_listen"]
             url = f"http://{address}/tickets"
-            return self._http.request("POST", url, json=ticket).status == 200
+            try:
+                answer = self._http.request(
+                    "POST", url, json=ticket, headers=_NEW_CONNECTION
+                )
+            except urllib3.exceptions.HTTPError:
+                return False
+            return answer.status == 200
 
         wait_until(is_accepted, "ticket accepted")
         wait_until(lambda: self._is_in_force(ticket), "ticket in force")
@@ -421,7 +428,9 @@
         return self._call("GET", f"http://{address}{path}")
 
     def _call(self, method: str, url: str, body: Any = None) -> Any:
-        answer = self._http.request(method, url, json=body)
+        answer = self._http.request(
+            method, url, json=body, headers=_NEW_CONNECTION
+        )
         if answer.status != 200:
             raise LoopbackError(f"{url} answered {answer.status}")
         return answer.json()
