--- a/src/quetzalgauge/loopback.py
+++ b/src/quetzalgauge/loopback.py
@@ -172,11 +172,11 @@
             if key == "listen" or key.endswith("_listen")
         ]
         found = _ADDRESS.findall(line)
-        if not found:
+        if len(found) != len(listeners):
             raise LoopbackError(f"{self.name} printed {line!r}")
         self.addresses = {
             _listener_key(name) or key: address
-            for key, (name, address) in zip(listeners, found, strict=False)
+            for key, (name, address) in zip(listeners, found, strict=True)
         }
         for key, address in self.addresses.items():
             # A restarted process takes the same ports. Cheroot does not set
