--- a/src/quetzalgauge/catalog.py
+++ b/src/quetzalgauge/catalog.py
@@ -10,7 +10,6 @@
 from collections.abc import Mapping
 import dataclasses
 import hashlib
-import itertools
 import struct
 import sys
 from typing import Any
@@ -514,31 +513,29 @@
     return snapshots.unpack(data, _decode)
 
 
-def _encode(catalog: Catalog) -> dict[str, Any]:
-    return {
-        "format": _FORMAT,
-        "offset": catalog._offset,
-        "latest_snapshot": catalog._latest_snapshot,
-        "version": catalog._version,
-        "models": _encode_table(catalog._models, _encode_models),
-        "adapters": _encode_table(catalog._adapters, _encode_adapters),
-        "services": _encode_table(catalog._services, _encode_services),
-        "tickets": _encode_tickets(catalog._tickets),
-    }
+def _encode(catalog: Catalog) -> Iterator[Any]:
+    yield [
+        _FORMAT,
+        catalog._offset,
+        catalog._latest_snapshot,
+        catalog._version,
+    ]
+    yield from _encode_table(catalog._models, _encode_models)
+    yield from _encode_table(catalog._adapters, _encode_adapters)
+    yield from _encode_table(catalog._services, _encode_services)
+    yield from _encode_tickets(catalog._tickets)
 
 
-def _encode_table(table: _Table[Any, Any], encode: Any) -> list[Any]:
-    """Returns columns.
+def _encode_table(table: _Table[Any, Any], encode: Any) -> Iterator[Any]:
+    """Yields columns.
 
     Rows would take several times the memory while 41,000 adapters are encoded
     or decoded. The last part holds the definitions, as `encode` returns them.
     """
-    return [
-        [name for name, _ in table.entries()],
-        snapshots.to_steps(entry.ticket for _, entry in table.entries()),
-        snapshots.to_steps(entry.version for _, entry in table.entries()),
-        encode(entry.definition for _, entry in table.entries()),
-    ]
+    yield [name for name, _ in table.entries()]
+    yield snapshots.to_steps(entry.ticket for _, entry in table.entries())
+    yield snapshots.to_steps(entry.version for _, entry in table.entries())
+    yield encode(entry.definition for _, entry in table.entries())
 
 
 def _encode_models(models: Iterable[Model | None]) -> list[Any]:
@@ -582,43 +579,39 @@
     ]
 
 
-def _encode_tickets(seen: dict[ids.TicketNumber, _Seen]) -> list[Any]:
-    return [
-        snapshots.to_steps(seen),
-        snapshots.to_steps(row.offset for row in seen.values()),
-        [row.verdict.value for row in seen.values()],
-        "".join(row.digest for row in seen.values()),
-        {
-            str(place): list(row.findings)
-            for place, row in enumerate(seen.values())
-            if row.findings
-        },
-    ]
+def _encode_tickets(seen: dict[ids.TicketNumber, _Seen]) -> Iterator[Any]:
+    yield snapshots.to_steps(seen)
+    yield snapshots.to_steps(row.offset for row in seen.values())
+    yield [row.verdict.value for row in seen.values()]
+    yield "".join(row.digest for row in seen.values())
+    yield {
+        str(place): list(row.findings)
+        for place, row in enumerate(seen.values())
+        if row.findings
+    }
 
 
-def _decode(state: Any) -> Catalog:
-    if state["format"] != _FORMAT:
-        raise ValueError(f"unknown format {state['format']}")
+def _decode(parts: Iterator[Any]) -> Catalog:
     catalog = Catalog()
-    catalog._offset = ids.Offset(state["offset"])
-    catalog._latest_snapshot = ids.Offset(state["latest_snapshot"])
-    catalog._version = state["version"]
-    _decode_table(catalog._models, state["models"], _decode_models)
-    _decode_table(catalog._adapters, state["adapters"], _decode_adapters)
-    _decode_table(catalog._services, state["services"], _decode_services)
-    catalog._tickets = _decode_tickets(*state["tickets"])
+    header = next(parts)
+    if header[0] != _FORMAT:
+        raise ValueError(f"unknown format {header[0]}")
+    _, catalog._offset, catalog._latest_snapshot, catalog._version = header
+    _decode_table(catalog._models, parts, _decode_models)
+    _decode_table(catalog._adapters, parts, _decode_adapters)
+    _decode_table(catalog._services, parts, _decode_services)
+    catalog._tickets = _decode_tickets(parts)
     return catalog
 
 
 def _decode_table(
-    table: _Table[Any, Any], columns: list[Any], decode: Any
+    table: _Table[Any, Any], parts: Iterator[Any], decode: Any
 ) -> None:
-    names, ticket_steps, version_steps, definitions = columns
     rows = zip(
-        names,
-        snapshots.from_steps(ticket_steps),
-        snapshots.from_steps(version_steps),
-        decode(definitions),
+        next(parts),
+        snapshots.from_steps(next(parts)),
+        snapshots.from_steps(next(parts)),
+        decode(next(parts)),
         strict=True,
     )
     for name, ticket, version, definition in rows:
@@ -658,20 +651,14 @@
 
 
 def _decode_tickets(
-    number_steps: list[int],
-    offset_steps: list[int],
-    verdicts: list[str],
-    digests: str,
-    findings: dict[str, list[str]],
+    parts: Iterator[Any],
 ) -> dict[ids.TicketNumber, _Seen]:
+    numbers = snapshots.from_steps(next(parts))
+    offsets = snapshots.from_steps(next(parts))
+    verdicts, digests, findings = next(parts), next(parts), next(parts)
     seen = {}
-    columns = zip(
-        itertools.count(),
-        snapshots.from_steps(number_steps),
-        snapshots.from_steps(offset_steps),
-        verdicts,
-    )
-    for place, number, offset, verdict in columns:
+    columns = zip(numbers, offsets, verdicts, strict=True)
+    for place, (number, offset, verdict) in enumerate(columns):
         seen[ids.TicketNumber(number)] = _Seen(
             digests[16 * place : 16 * place + 16],
             messages.TicketVerdict(verdict),
--- a/src/quetzalgauge/follower.py
+++ b/src/quetzalgauge/follower.py
@@ -97,6 +97,9 @@
         self._log_end = ids.NO_OFFSET
         self._snapshot_time: datetime.timedelta | None = None
         self._seen_snapshot: tuple[ids.Offset, datetime.timedelta] | None = None
+        # Sizes of the latest snapshot and of the records after it.
+        self._snapshot_bytes = 0
+        self._bytes_since = 0
 
     @property
     def state(self) -> State:
@@ -208,7 +211,10 @@
             self._seen_snapshot = (latest, now)
         if self.next_offset == 0 or self.is_catching_up:
             return False
-        if self.next_offset - 1 - latest > interval:
+        # Every process reads every snapshot. The second condition keeps them
+        # below half of a stream whose state is large against its records.
+        is_worth_it = self._bytes_since >= self._snapshot_bytes
+        if self.next_offset - 1 - latest > interval and is_worth_it:
             return True
         return now - self._seen_snapshot[1] > SNAPSHOT_AGE
 
@@ -233,6 +239,7 @@
 
     def _fold_row(self, row: Raw) -> Folded:
         offset, data = row
+        self._bytes_since += len(data)
         try:
             envelope = records.decode(data)
         except exceptions.DecodeError:
@@ -240,6 +247,9 @@
             self._fold.skip(self._state, offset)
             return Folded(offset, None, None)
         if isinstance(envelope.body, records.Snapshot):
+            if envelope.body.state:
+                self._snapshot_bytes = len(data)
+                self._bytes_since = 0
             # A peer folds the records in between and needs no state. It would
             # push the other records out.
             body = records.Snapshot(envelope.body.covers_offset, b"")
@@ -274,6 +284,8 @@
         if self._fold.offset(state) != offset:
             return False
         self._state = state
+        self._snapshot_bytes = len(data)
+        self._bytes_since = 0
         self._recent.clear()
         self._recent_bytes = 0
         return True
--- a/src/quetzalgauge/ledger.py
+++ b/src/quetzalgauge/ledger.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Set
 import dataclasses
@@ -661,30 +662,26 @@
     return snapshots.unpack(data, _decode)
 
 
-def _encode(ledger: Ledger) -> dict[str, Any]:
-    return {
-        "format": _FORMAT,
-        "offset": ledger._offset,
-        "latest_snapshot": ledger._latest_snapshot,
-        "writers": [
-            [
-                writer.id.instance,
-                writer.id.incarnation,
-                writer.availability_zone,
-                writer.peer_address,
-                writer.sequence,
-                writer.renewed,
-            ]
-            for _, writer in sorted(ledger._writers.items())
-        ],
-        "gone_writers": list(ledger._gone_writers.items()),
-        "targets": [
-            _encode_target(name, target)
-            for name, target in sorted(ledger._targets.items())
-        ],
-        "vacant": list(ledger._vacant),
-        "claims": ledger._claims.encode(),
-    }
+def _encode(ledger: Ledger) -> Iterator[Any]:
+    yield [_FORMAT, ledger._offset, ledger._latest_snapshot]
+    yield [
+        [
+            writer.id.instance,
+            writer.id.incarnation,
+            writer.availability_zone,
+            writer.peer_address,
+            writer.sequence,
+            writer.renewed,
+        ]
+        for _, writer in sorted(ledger._writers.items())
+    ]
+    yield list(ledger._gone_writers.items())
+    yield [
+        _encode_target(name, target)
+        for name, target in sorted(ledger._targets.items())
+    ]
+    yield list(ledger._vacant)
+    yield from ledger._claims.encode()
 
 
 def _encode_target(name: ids.TargetId, target: Target) -> list[Any]:
@@ -710,20 +707,19 @@
     ]
 
 
-def _decode(state: Any) -> Ledger:
-    if state["format"] != _FORMAT:
-        raise ValueError(f"unknown format {state['format']}")
+def _decode(parts: Iterator[Any]) -> Ledger:
     ledger = Ledger()
-    ledger._offset = ids.Offset(state["offset"])
-    ledger._latest_snapshot = ids.Offset(state["latest_snapshot"])
-    for row in state["writers"]:
+    format_number, ledger._offset, ledger._latest_snapshot = next(parts)
+    if format_number != _FORMAT:
+        raise ValueError(f"unknown format {format_number}")
+    for row in next(parts):
         writer = ids.WriterId(row[0], row[1])
         ledger._writers[writer.instance] = Writer(writer, *row[2:])
-    ledger._gone_writers = dict(state["gone_writers"])
-    for row in state["targets"]:
+    ledger._gone_writers = dict(next(parts))
+    for row in next(parts):
         _decode_target(ledger, row)
-    ledger._vacant = dict.fromkeys(state["vacant"])
-    ledger._claims = keyclaims.decode(*state["claims"])
+    ledger._vacant = dict.fromkeys(next(parts))
+    ledger._claims = keyclaims.decode(parts)
     return ledger
 
 
--- a/src/quetzalgauge/snapshots.py
+++ b/src/quetzalgauge/snapshots.py
@@ -1,4 +1,8 @@
-"""The byte form of folded states: compressed JSON."""
+"""The byte form of folded states: compressed lines of JSON.
+
+A state is a sequence of parts, one line each, so that a process never holds the
+JSON form of a whole state beside the state itself.
+"""
 
 import base64
 import binascii
@@ -19,37 +23,48 @@
 # A peer's bytes must not fill the memory of a 64 MB process when unpacked. The
 # largest state at the target size takes a few megabytes.
 _STATE_LIMIT_BYTES = 32 * 1024 * 1024
+_CHUNK_BYTES = 64 * 1024
 
 State = TypeVar("State")
 
 
-def pack(state: Any) -> bytes:
-    """Encodes a JSON value. Equal values give equal bytes."""
-    return zlib.compress(_to_text(state), _COMPRESSION_LEVEL)
+def pack(parts: Iterable[Any]) -> bytes:
+    """Encodes JSON values. Equal values give equal bytes."""
+    compressor = zlib.compressobj(_COMPRESSION_LEVEL)
+    pieces = [compressor.compress(_to_line(part)) for part in parts]
+    pieces.append(compressor.flush())
+    return b"".join(pieces)
 
 
-def digest(state: Any) -> str:
-    """Returns a short text that depends only on the JSON value.
+def digest(parts: Iterable[Any]) -> str:
+    """Returns a short text that depends only on the JSON values.
 
     It is taken before compression, since two builds of zlib may differ.
     """
-    return hashlib.blake2b(_to_text(state), digest_size=16).hexdigest()
+    state = hashlib.blake2b(digest_size=16)
+    for part in parts:
+        state.update(_to_line(part))
+    return state.hexdigest()
 
 
-def unpack(data: bytes, build: Callable[[Any], State]) -> State:
-    """Decodes a JSON value and builds a state from it.
+def unpack(data: bytes, build: Callable[[Iterator[Any]], State]) -> State:
+    """Decodes JSON values and builds a state from them, part by part.
 
     Raises:
         exceptions.DecodeError: The bytes are damaged, or `build` failed on
-            the value.
+            the values or has left some.
     """
+    parts = (json.loads(line) for line in _lines(data))
     try:
-        return build(json.loads(_decompress(data)))
+        state = build(parts)
+        if next(parts, None) is not None:
+            raise ValueError("unexpected part")
     except (
         ArithmeticError,
         AttributeError,
         LookupError,
         RecursionError,
+        StopIteration,
         TypeError,
         ValueError,
         binascii.Error,
@@ -59,6 +74,7 @@
         raise exceptions.DecodeError(
             f"not a valid snapshot: {error}"
         ) from error
+    return state
 
 
 def pack_numbers(numbers: Iterable[int]) -> str:
@@ -89,13 +105,28 @@
     return itertools.accumulate(steps)
 
 
-def _to_text(state: Any) -> bytes:
-    return json.dumps(state, separators=(",", ":")).encode()
+def _to_line(part: Any) -> bytes:
+    return json.dumps(part, separators=(",", ":")).encode() + b"\n"
 
 
-def _decompress(data: bytes) -> bytes:
+def _lines(data: bytes) -> Iterator[bytes]:
     decompressor = zlib.decompressobj()
-    text = decompressor.decompress(data, _STATE_LIMIT_BYTES)
-    if not decompressor.eof:
-        raise ValueError("the state is cut off or too large")
-    return text
+    pieces: list[bytes] = []
+    size = 0
+    while not decompressor.eof:
+        piece = decompressor.decompress(data, _CHUNK_BYTES)
+        size += len(piece)
+        if size > _STATE_LIMIT_BYTES:
+            raise ValueError("the state is too large")
+        if not piece and not decompressor.unconsumed_tail:
+            if decompressor.eof:
+                break
+            raise ValueError("the state is cut off")
+        data = decompressor.unconsumed_tail
+        *ends, rest = piece.split(b"\n")
+        for end in ends:
+            yield b"".join((*pieces, end))
+            pieces = []
+        pieces.append(rest)
+    if any(pieces):
+        raise ValueError("the last part is cut off")
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -145,6 +145,21 @@
     assert 1 <= len(written) <= 3
 
 
+def test_a_large_state_is_not_written_more_often_than_it_is_worth():
+    """Guards against snapshots that take most of a node's 9 KB a second."""
+    follower = _follower()
+    large = _data(records.Snapshot(0, bytes(3000)))
+    rows = _rows(_ticket(1, 1), large, *(_ticket(n, n) for n in range(2, 99)))
+    now = datetime.timedelta(0)
+    written = []
+    for row in rows:
+        follower.read([row], 0)
+        if follower.is_snapshot_due(now, 10, 0):
+            written.append(row[0])
+    # The interval alone would give 12.
+    assert 25 < written[0] < 60
+
+
 def test_a_quiet_stream_gets_a_snapshot_before_its_records_expire():
     """Guards against a configuration that is lost with the last record."""
     follower = _follower()
--- a/tests/test_keyclaims.py
+++ b/tests/test_keyclaims.py
@@ -16,7 +16,24 @@
     for key, claim in claims.items():
         assert claim.offset == key
         assert claim.entry == f"e-{key}"
-    assert keyclaims.decode(*claims.encode()).encode() == claims.encode()
+    restored = keyclaims.decode(claims.encode())
+    assert list(restored.encode()) == list(claims.encode())
+
+
+def test_released_keys_leave_no_trace(monkeypatch):
+    """Guards against a table that grows with every released key."""
+    monkeypatch.setattr(keyclaims, "_LEAST_ORDER", 8)
+    claims = keyclaims.KeyClaims()
+    writer = ids.WriterId("node-1", 1)
+    claims.add([7], keyclaims.Claim(0, writer, "e"))
+    for offset in range(1, 100):
+        claims.add([8], keyclaims.Claim(offset, writer, "e"))
+        claims.remove([8])
+    assert len(claims._order_keys) <= 8
+    claims.add([8], keyclaims.Claim(100, writer, "e"))
+    assert [key for key, _ in claims.items()] == [7, 8]
+    claims.shrink(1)
+    assert [key for key, _ in claims.items()] == [8]
 
 
 def test_an_offset_keeps_its_value_at_any_size():
