--- a/src/quetzalgauge/settings.py
+++ b/src/quetzalgauge/settings.py
@@ -19,6 +19,7 @@
 from quetzalgauge import findings
 from quetzalgauge import jsonc
 
+_DRAIN_MARGIN = datetime.timedelta(seconds=90)
 _MAX_SECONDS = 86400.0 * 365
 
 
@@ -61,9 +62,11 @@
 # A duration in the settings file is a number of seconds.
 Seconds = Annotated[datetime.timedelta, pydantic.BeforeValidator(_seconds)]
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
-IpNumber = Annotated[str, pydantic.AfterValidator(_ip_number)]
+IP_NUMBER_RULE = pydantic.AfterValidator(_ip_number)
+IpNumber = Annotated[str, IP_NUMBER_RULE]
 FilePath = Annotated[pathlib.Path, pydantic.BeforeValidator(_file_path)]
-HttpUrl = Annotated[str, pydantic.AfterValidator(_http_url)]
+HTTP_URL_RULE = pydantic.AfterValidator(_http_url)
+HttpUrl = Annotated[str, HTTP_URL_RULE]
 Name = Annotated[
     str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=100)
 ]
@@ -213,8 +216,9 @@
         "Records of a stream between two snapshots.", default=2000
     )
     drain_timeout: Seconds = _described(
-        "Longest wait for the hand-over during a graceful shutdown.",
-        default=datetime.timedelta(seconds=30),
+        "Longest wait for the hand-over during a graceful shutdown; at least"
+        " 90 s above `order_linger`.",
+        default=datetime.timedelta(seconds=240),
     )
 
 
@@ -371,6 +375,16 @@
     return [(("default_deadline",), "must not exceed max_deadline")]
 
 
+def _check_drain(_: Any, result: Any) -> list[tuple[findings.Path, str]]:
+    if not isinstance(result, ControlSettings):
+        return []
+    # The core waits for answers of orders up to 60 s above order_linger. An
+    # earlier end would leave its fencing numbers open.
+    if result.drain_timeout >= result.order_linger + _DRAIN_MARGIN:
+        return []
+    return [(("drain_timeout",), "must be 90 s or more above order_linger")]
+
+
 def _check_timeouts(_: Any, result: Any) -> list[tuple[findings.Path, str]]:
     found: list[tuple[findings.Path, str]] = []
     if result is None:
@@ -394,5 +408,6 @@
     _check_peer_host,
     _check_peer_authority,
     _check_deadlines,
+    _check_drain,
     _check_timeouts,
 )
