--- a/src/quetzalgauge/ledger.py
+++ b/src/quetzalgauge/ledger.py
@@ -23,9 +23,10 @@
 
 # Ended incarnations of instances and of targets are remembered, so that a late
 # record cannot bring them back. The limits bound the state when instances get
-# new names: 450 replacements a day fill either list in about three weeks.
-GONE_WRITER_LIMIT = 10_000
-VACANT_TARGET_LIMIT = 10_000
+# new names: a region's share of 450 replacements a day fills either list in
+# about nine days. A vacant target takes about 500 bytes.
+GONE_WRITER_LIMIT = 1_000
+VACANT_TARGET_LIMIT = 1_000
 
 _FORMAT = 1
 
