--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -44,8 +44,8 @@
 _COST_UNLOAD = 2
 # The notice of an unload, the next poll and the unload itself.
 EVICTION_TIME = datetime.timedelta(seconds=4)
-# Requests that wait longer, with no load in progress, show that the zone that
-# was chosen does not serve them.
+# Requests that wait longer, with no replica loading or ready in the region,
+# show that the zone that was chosen does not serve them.
 REGION_PATIENCE = datetime.timedelta(seconds=10)
 
 _PART = "placement"
@@ -312,7 +312,7 @@
             return True
         return any(
             replica.version == servable.version
-            and replica.state == ttypes.ReplicaState.LOADING
+            and replica.state != ttypes.ReplicaState.UNLOADING
             and self._is_usable(replica.target, now)
             for replica in self._views.replicas(servable.model)
         )
@@ -560,18 +560,20 @@
         ]
         if len(self._remote_starts) >= share:
             return False
-        # A load that nobody waits for must not hold back one that is needed.
-        loading = sum(
-            replica.state == ttypes.ReplicaState.LOADING
-            and (target, views_module.slot_of(replica)) not in self._warmed
+        loading = {
+            (target, views_module.slot_of(replica))
+            for target in ctx.membership.engines(ctx.zone)
+            for replica in self._replicas_on(target)
+            if replica.state == ttypes.ReplicaState.LOADING
             and not self._views.is_cached(
                 target, replica.slot.model, replica.version
             )
-            for target in ctx.membership.engines(ctx.zone)
-            for replica in self._replicas_on(target)
-        )
-        started = sum(place not in self._warmed for place in self._started)
-        return loading + started < share
+        }
+        loading.update(self._started)
+        needed = sum(place not in self._warmed for place in loading)
+        # Loads that nobody waits for count too, but must not hold back the
+        # first one that is needed: a load takes up to a minute.
+        return needed == 0 or len(loading) < share
 
     def _replicas_on(self, target: ids.TargetId) -> list:
         state = self._views.state(target)
--- a/src/quetzalgauge/warmup.py
+++ b/src/quetzalgauge/warmup.py
@@ -1,8 +1,8 @@
 """Brings checkpoints near the accelerators before they are needed.
 
 The tail of cold starts is the first load of a checkpoint that no target of the
-region has cached. While nothing waits and nothing loads, such a model is
-loaded once on a target that has room for it, and then falls idle.
+region has cached. While the weight store is not busy, such a model is loaded
+once on a target that has room for it, and then falls idle.
 """
 
 import datetime
@@ -19,6 +19,9 @@
 # A checkpoint that the targets' caches cannot keep is not fetched over and
 # over: that would take the weight store from cold starts.
 REPEAT_INTERVAL = datetime.timedelta(hours=6)
+# Starts only while at most this part of the weight store's loads is in use, so
+# that a cold start finds the store at full speed.
+_STORE_PART = 2
 
 _LONG_AGO = datetime.timedelta(days=-1)
 
@@ -45,7 +48,7 @@
         self._full: dict[ids.TargetId, datetime.timedelta] = {}
 
     def review(self, now: datetime.timedelta) -> None:
-        """Starts or continues one load if the region is quiet."""
+        """Starts or continues one load if the store is not busy."""
         if now - self._reviewed < REVIEW_INTERVAL:
             return
         self._reviewed = now
@@ -55,20 +58,23 @@
         if not ctx.is_config_read or not ctx.reading.is_current(now):
             return
         self._note_full_caches(now)
-        if self._demands.waiting() or self._is_region_loading():
+        if self._count_loading() >= ctx.settings.loads_at_once // _STORE_PART:
             return
         for model, spec, least, most in plan_module.of_zone(
             ctx.catalog, ctx.zone
         ):
             servable = demand_module.Servable(model, spec.version)
-            if most <= least or not self._is_wanted(servable, now):
+            # Slots below the minimum are loaded anyway.
+            if least or not most or not self._is_wanted(servable, now):
                 continue
-            slot = ids.SlotId(model, ctx.zone, most - 1)
+            # Demand takes the first slot too, so both lead to one load.
+            slot = ids.SlotId(model, ctx.zone, 0)
             if self._start(slot, spec, servable, now):
                 return
 
-    def _is_region_loading(self) -> bool:
-        return any(
+    def _count_loading(self) -> int:
+        """Counts the loads in the region, from the store or not."""
+        return sum(
             replica.state == ttypes.ReplicaState.LOADING
             for state in self._views.states.values()
             for replica in state.replicas
@@ -83,6 +89,8 @@
             return False
         if self._zone_for(servable.model) != self._ctx.zone:
             return False
+        if self._demands.is_waiting(servable):
+            return False
         if any(True for _ in self._views.replicas(servable.model)):
             return False
         return not any(
--- a/tests/test_control_invariants.py
+++ b/tests/test_control_invariants.py
@@ -158,9 +158,8 @@
             world.demand[name].clear()
             world.drop_connections(name)
             process = world.controllers.get(name)
-            if process is None or process.dump()["draining"]:
-                world.start(name)
-            elif name in world.stopped:
+            is_stopped = name in world.stopped
+            if process is None or process.dump()["draining"] or is_stopped:
                 world.start(name)
             world.unlisted.discard(name)
         self.publish(1, "v1")
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -361,3 +361,95 @@
     world.ticket(3, {"report": {}})
     world.run(10)
     assert len(world.loaded()) == 1
+
+
+OTHER_ZONE = "uy-south-b"
+BOTH_ZONES = {"report": {"zones": [ZONE, OTHER_ZONE]}}
+
+
+def make_region():
+    """Returns a world of two zones with one instance and one target each."""
+    world = control_fakes.World()
+    world.add_target("lm-0", zone=ZONE)
+    world.add_target("lm-1", zone=OTHER_ZONE)
+    world.start("node-0", ZONE, warm_checkpoints=False)
+    world.start("node-1", OTHER_ZONE, warm_checkpoints=False)
+    world.ticket(1, BOTH_ZONES)
+    world.run(5)
+    return world
+
+
+def test_burst_in_two_zones_is_one_load_where_the_checkpoint_is():
+    """Guards against a load in each zone, from the store or not."""
+    for holder in ("lm-0", "lm-1"):
+        world = make_region()
+        world.targets[holder].cached["report", "v1"] = messages.CacheTier.DISK
+        world.run(3)
+        for _ in range(8):
+            world.want("node-0", "report", waiting=5)
+            world.want("node-1", "report", waiting=5)
+            world.run(1)
+        assert [name for name, _ in world.loaded()] == [holder]
+        assert sum(sum(t.loads.values()) for t in world.targets.values()) == 1
+
+
+@pytest.mark.covers("cut", "load")
+def test_zone_without_the_log_loads_for_itself():
+    """Guards against a cut-off zone that waits for a load elsewhere."""
+    for cut in ("node-0", "node-1"):
+        world = make_region()
+        world.cut.add(cut)
+        world.isolated.add(cut)
+        world.run(10)
+        for _ in range(20):
+            world.want(cut, "report", waiting=5)
+            world.run(1)
+        own = "lm-0" if cut == "node-0" else "lm-1"
+        assert [name for name, _ in world.loaded()] == [own]
+
+
+def test_zone_serves_itself_when_the_chosen_zone_does_not_answer():
+    """Guards against requests that wait for a holder out of reach."""
+    world = make_region()
+    # Both read the log, so both hold their leases, but no message passes.
+    world.isolated.update(world.controllers)
+    for name, own in (("node-0", "lm-0"), ("node-1", "lm-1")):
+        demand = ttypes.Demand(
+            model="report",
+            version="v1",
+            waiting=5,
+            running=0,
+            oldest_wait_s=placement.REGION_PATIENCE.total_seconds() + 1,
+            priority=5,
+            origin=f"entry-{name}",
+        )
+        for _ in range(12):
+            world.demand[name].append(demand)
+            world.run(0.5)
+        assert own in [target for target, _ in world.loaded()]
+
+
+def test_no_second_load_when_the_first_replica_has_just_become_ready():
+    """Guards against a load in each other zone at the end of a slow load.
+
+    Requests that waited longer than REGION_PATIENCE were still reported for a
+    moment after the replica was ready, and both other zones loaded the model.
+    """
+    world = make_region()
+    for target in world.targets.values():
+        target.load_seconds = placement.REGION_PATIENCE.total_seconds() + 5
+    for second in range(60):
+        for name in list(world.controllers):
+            world.demand[name].append(
+                ttypes.Demand(
+                    model="report",
+                    version="v1",
+                    waiting=5,
+                    running=0,
+                    oldest_wait_s=second / 2,
+                    priority=5,
+                    origin=f"entry-{name}",
+                )
+            )
+        world.run(0.5)
+    assert len(world.loaded()) == 1
