--- a/src/quetzalgauge/logtasks.py
+++ b/src/quetzalgauge/logtasks.py
@@ -16,9 +16,11 @@
 READ_LIMIT = 500
 # The core's READ_GAP is twice this wait and a margin.
 READ_WAIT = datetime.timedelta(seconds=3)
-# After a failed call the task pauses for a random time up to this, so that the
-# instances don't return all at once after an outage.
-_FAILURE_PAUSE = datetime.timedelta(seconds=1)
+# After a failed read the task pauses, up to this and doubled with each failure.
+# 390 instances then come to a few hundred calls a second in an outage, and the
+# random share keeps them from returning all at once.
+_FIRST_PAUSE = datetime.timedelta(milliseconds=200)
+_LONGEST_PAUSE = datetime.timedelta(seconds=3)
 _log = logs.make_logger("log")
 
 
@@ -47,6 +49,7 @@
         self._positions: queue.SimpleQueue[ids.Offset] = queue.SimpleQueue()
         self._stopping = threading.Event()
         self._failing = False
+        self._pause = _FIRST_PAUSE
         self._thread = tasks.start_thread(
             f"read-{stream}", self._run, on_failure
         )
@@ -87,8 +90,7 @@
         except exceptions.LogUnavailableError as error:
             self._report(str(error))
             self._deliver(messages.StreamFailed(self._stream))
-            pause = random_module.uniform(0.1, _FAILURE_PAUSE.total_seconds())
-            self._stopping.wait(pause)
+            self._wait_after_failure()
             return position
         self._report("")
         self._deliver(
@@ -98,11 +100,17 @@
         )
         return ids.Offset(position + len(result.records))
 
+    def _wait_after_failure(self) -> None:
+        pause = self._pause.total_seconds() * random_module.uniform(0.5, 1.0)
+        self._pause = min(self._pause * 2, _LONGEST_PAUSE)
+        self._stopping.wait(pause)
+
     def _report(self, failure: str) -> None:
         """Logs the change between working and failing, not each failure."""
         if bool(failure) == self._failing:
             return
         self._failing = bool(failure)
+        self._pause = _FIRST_PAUSE
         if failure:
             _log.warning("cannot read %s: %s", self._stream, failure)
         else:
@@ -122,7 +130,8 @@
         result = client.append(stream, action.data)
         acknowledged = result.outcome is logclient.AppendOutcome.ACKNOWLEDGED
         if not acknowledged:
-            _log.info(
+            # The reader reports an outage once; this line comes twice a second.
+            _log.debug(
                 "append to %s %s: %s",
                 stream,
                 result.outcome.value,
