--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -8,7 +8,6 @@
 import json
 import os
 import pathlib
-import signal
 import socket
 import subprocess
 import sys
@@ -218,6 +217,7 @@
         self.models: list[Any] = []
         self.adapters: list[Any] = []
         self.version = 1
+        self.poll_time = 0.1
         self.claims: list[int] = []
         self.outcomes: dict[int, Any] = {}
         self.key_decision = ttypes.KeyDecision.RUN
@@ -227,20 +227,18 @@
         self._server = wire.Server(
             "control", Control.Processor(self), "127.0.0.1", port
         )
+        self.port = int(self._server.address.rpartition(":")[2])
         self._server.start()
 
-    @property
-    def port(self) -> int:
-        return int(self._server.address.rpartition(":")[2])
-
     def stop(self) -> None:
         self._server.stop()
 
     def sync(self, report: Any) -> Any:
         self.reports.append(report)
-        until = time.monotonic() + 0.1
+        start = time.monotonic()
         while (
-            report.routes_version == self.version and time.monotonic() < until
+            report.routes_version == self.version
+            and time.monotonic() < start + self.poll_time
         ):
             time.sleep(0.01)
         changed = report.routes_version != self.version
@@ -331,25 +329,41 @@
     )
 
 
+def make_config(control_port: int, **more: Any) -> dict[str, Any]:
+    """Returns settings of an entry process on free ports."""
+    return {
+        "instance": "i-1",
+        "entry": "e-1",
+        "availability_zone": ZONE,
+        "region": "uy-south",
+        "listen": {"host": "127.0.0.1", "port": 0},
+        "operator_listen": {"host": "127.0.0.1", "port": 0},
+        "control": {"host": "127.0.0.1", "port": control_port},
+        "threads": 64,
+        "target_silence_timeout": 1.0,
+        "default_deadline": 10,
+        **more,
+    }
+
+
+def run_entry(*arguments: str) -> "subprocess.CompletedProcess[str]":
+    """Runs the program to its end."""
+    return subprocess.run(
+        [sys.executable, "-m", "quetzalgauge.entry", *arguments],
+        env={**os.environ, "PYTHONPATH": str(SOURCE)},
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
+
+
 class EntryProcess:
     """A real entry process."""
 
     def __init__(
         self, directory: pathlib.Path, control_port: int, **more: Any
     ) -> None:
-        config = {
-            "instance": "i-1",
-            "entry": "e-1",
-            "availability_zone": ZONE,
-            "region": "uy-south",
-            "listen": {"host": "127.0.0.1", "port": 0},
-            "operator_listen": {"host": "127.0.0.1", "port": 0},
-            "control": {"host": "127.0.0.1", "port": control_port},
-            "threads": 64,
-            "target_silence_timeout": 1.0,
-            "default_deadline": 10,
-            **more,
-        }
+        config = make_config(control_port, **more)
         path = directory / "entry.json"
         path.write_text(json.dumps(config))
         self.log_path = directory / "entry.log"
@@ -414,9 +428,8 @@
         body = json.dumps({"model": model, **more}).encode()
         return self.call("POST", "/v1/completions", body, headers)
 
-    def terminate(self) -> int:
-        self.process.send_signal(signal.SIGTERM)
-        return self.process.wait(20)
+    def dump(self) -> Any:
+        return self.call("GET", "/dump", port=self.operator_port).json
 
     def close(self) -> None:
         if self.process.poll() is None:
