Pause when accepting fails for want of file descriptors

Ruled out: closing the listener, since its port is the instance's lock.

Change: a pause of 0.1 s and a warning; other errors of a connection that went away are ignored as before.

Before: found by reading, not seen.

Conclusion: a test guards the pause.

--- a/src/quetzalgauge/wire.py
+++ b/src/quetzalgauge/wire.py
@@ -43,6 +43,7 @@
 # An entry process sends its next `sync` right after an answer. A thread that
 # waits for it saves the way through the selector and the pool.
 _LINGER_MS = 20
+_ACCEPT_PAUSE_SECONDS = 0.1
 _BACKLOG = 128
 _log = logs.make_logger("wire")
 
@@ -315,16 +316,25 @@
         self._close_idle()
 
     def _accept(self) -> None:
-        with contextlib.suppress(OSError):
+        try:
             handle, _ = self._listener.accept()
-            with self._count_lock:
-                full = self._open_count >= self._limits.connections
-                self._open_count += not full
-            if full:
-                handle.close()
-                return
+        except (BlockingIOError, ConnectionError):
+            return
+        except OSError as error:
+            # Out of file descriptors: the listener stays readable, so without
+            # a pause the loop would spin.
+            _log.warning("%s: cannot accept: %s", self._name, error)
+            time.sleep(_ACCEPT_PAUSE_SECONDS)
+            return
+        with self._count_lock:
+            full = self._open_count >= self._limits.connections
+            self._open_count += not full
+        if full:
+            handle.close()
+            return
+        with contextlib.suppress(OSError):
             handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._watch(_Connection(handle, self._tls is not None))
+        self._watch(_Connection(handle, self._tls is not None))
 
     def _watch(self, connection: _Connection) -> None:
         connection.idle_since = time.monotonic()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import datetime
+import errno
 import random
 import socket
 import struct
@@ -153,6 +154,24 @@
         assert _call(server.address).offset == 7
 
 
+def test_a_failing_accept_does_not_spin():
+    """Guards against a busy loop when file descriptors run out."""
+    calls = []
+
+    class Listener:
+        def accept(self):
+            calls.append(time.monotonic())
+            raise OSError(errno.EMFILE, "too many open files")
+
+    with _run_server() as (server, _):
+        listener, server._listener = server._listener, Listener()
+        server._accept()
+        server._accept()
+        server._listener = listener
+        assert calls[1] - calls[0] >= wire._ACCEPT_PAUSE_SECONDS
+        assert _call(server.address).offset == 7
+
+
 def test_idle_connections_are_closed(monkeypatch):
     """Guards against half-open connections that stay for good."""
     monkeypatch.setattr(wire, "_IDLE_CHECK_SECONDS", 0.05)
