Test peer TLS of the process and a silent TLS server

Cause: TLS was tested on the servers, not through the settings of the process; a server that is silent during the handshake was not tested.

Ruled out: nothing, tests only.

Change: one test with a control process and one with a silent server.

Before: no such test.

Conclusion: no fault found.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -10,6 +10,7 @@
 import threading
 import time
 
+import certificates
 import pytest
 import stubs
 import urllib3
@@ -209,6 +210,22 @@
         assert duration < 0.2
 
 
+def test_peers_need_a_certificate(tmp_path):
+    """Guards against settings of TLS that the process does not use."""
+    tls = certificates.make_tls(tmp_path)
+    values = {key: str(path) for key, path in tls.model_dump().items()}
+    with (
+        _run_platform() as platform,
+        _run_control(tmp_path, platform.address, peer_tls=values) as running,
+    ):
+        with pytest.raises(exceptions.PeerError):
+            _exchange(running.peer(), "uy-south-a")
+        context = wire.make_client_context(tls)
+        client = wire.Client(Peer, running.addresses["peer"], tls=context)
+        assert _exchange(client, "uy-south-a").digest.sender.instance == "n"
+        client.close()
+
+
 def test_calls_without_a_reply_end_in_time(tmp_path):
     """Guards against a keyed request that waits for good."""
     with (
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -273,3 +273,13 @@
             silent.sendall(b"\x16")
             client_context = wire.make_client_context(tls)
             assert _call(server.address, tls=client_context).offset == 7
+
+
+def test_a_silent_server_ends_the_handshake_in_time(tls):
+    """Guards against a half-open connection before the first call."""
+    context = wire.make_client_context(tls)
+    with stubs.run_silent_server() as address:
+        start = time.monotonic()
+        with pytest.raises(exceptions.PeerUnreachableError):
+            _call(address, tls=context, connect_timeout=_SHORT)
+        assert time.monotonic() - start < 3
