--- a/src/quetzalgauge/entry.py
+++ b/src/quetzalgauge/entry.py
@@ -33,8 +33,6 @@
 DUMP_TIMEOUT_SECONDS = 5.0
 # Threads that stay free to refuse requests while all others are busy.
 RESERVED_THREADS_SHARE = 8
-# A thread that computes gives way to one with an event after this time.
-SWITCH_INTERVAL_SECONDS = 0.0005
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -254,7 +252,6 @@
         print(error, file=sys.stderr)
         return EXIT_USAGE
     logs.set_up(config.logging.level, config.logging.format, "entry")
-    sys.setswitchinterval(SWITCH_INTERVAL_SECONDS)
     try:
         process = Entry(config)
         process.start()
