--- a/src/quetzalgauge/callers.py
+++ b/src/quetzalgauge/callers.py
@@ -24,9 +24,9 @@
 
 import cheroot.server
 
+from quetzalgauge import calls
 from quetzalgauge import clock
 from quetzalgauge import controllink
-from quetzalgauge import gateway
 from quetzalgauge import ids
 from quetzalgauge import logs
 from quetzalgauge import metrics
@@ -100,7 +100,7 @@
 class Parsed:
     """A request for the core, and what a target gets."""
 
-    request: gateway.Request
+    request: calls.Request
     method: str
     path: str
     headers: dict[str, str]
@@ -117,17 +117,17 @@
     def __init__(self, token: int) -> None:
         self.token = token
         self.attempt = targets.Attempt()
-        self._actions: queue.SimpleQueue[gateway.Action] = queue.SimpleQueue()
+        self._actions: queue.SimpleQueue[calls.Action] = queue.SimpleQueue()
 
-    def put(self, action: gateway.Action) -> None:
+    def put(self, action: calls.Action) -> None:
         """Gives an action to the worker; only the owner task calls this."""
-        if isinstance(action, gateway.Send):
+        if isinstance(action, calls.Send):
             # Made here and not by the worker, so that a cancellation right
             # after this action reaches the new attempt.
             self.attempt = targets.Attempt()
         self._actions.put(action)
 
-    def get(self) -> gateway.Action:
+    def get(self) -> calls.Action:
         """Waits for the next action."""
         return self._actions.get()
 
@@ -135,7 +135,7 @@
 class CallerWatch:
     """Notices that a caller has closed its connection during a call."""
 
-    def __init__(self, tell: Callable[[gateway.Event], None]) -> None:
+    def __init__(self, tell: Callable[[calls.Event], None]) -> None:
         self._tell = tell
         self._epoll = select.epoll()
         self._tokens: dict[int, int] = {}
@@ -160,7 +160,7 @@
             for number, _ in self._epoll.poll():
                 token = self._tokens.get(number)
                 if token is not None:
-                    self._tell(gateway.CallerGone(token))
+                    self._tell(calls.CallerGone(token))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -169,7 +169,7 @@
 
     config: settings.EntrySettings
     now: clock.Clock
-    tell: Callable[[gateway.Event], None]
+    tell: Callable[[calls.Event], None]
     calls: dict[int, Call]
     watch: CallerWatch
     client: targets.TargetClient
@@ -331,9 +331,9 @@
     stream = document.get("stream", False)
     if stream and key is not None:
         raise BadRequestError("a stream cannot have an Idempotency-Key")
-    request = gateway.Request(
+    request = calls.Request(
         request_id,
-        gateway.Kind.COMPLETION,
+        calls.Kind.COMPLETION,
         document["model"],
         stream,
         True,
@@ -369,9 +369,9 @@
         path = f"?{query}"
     if not _NAME.match(service):
         raise BadRequestError("no such service", refusals.Code.UNKNOWN_SERVICE)
-    request = gateway.Request(
+    request = calls.Request(
         request_id,
-        gateway.Kind.PLAIN,
+        calls.Kind.PLAIN,
         service,
         False,
         method in _REPEATABLE_METHODS,
@@ -516,35 +516,35 @@
             if self._opened is not None:
                 self._opened.close()
 
-    def _carry_out(self, action: gateway.Action) -> bool:
+    def _carry_out(self, action: calls.Action) -> bool:
         """Carries out an action; returns whether it was the last one."""
         token = self._call.token
         match action:
-            case gateway.Send():
+            case calls.Send():
                 return self._send(action)
-            case gateway.Open():
+            case calls.Open():
                 self._open(action)
-            case gateway.ClaimKey():
+            case calls.ClaimKey():
                 decision, outcome = self._parts.link.claim_key(
                     action.key, action.timeout
                 )
-                self._tell(gateway.KeyDecided(token, decision, outcome))
-            case gateway.EnsureAdapter():
+                self._tell(calls.KeyDecided(token, decision, outcome))
+            case calls.EnsureAdapter():
                 resident = self._parts.link.ensure_adapter(
                     action.target, action.adapter, action.timeout
                 )
-                self._tell(gateway.AdapterDecided(token, resident))
-            case gateway.Refuse():
+                self._tell(calls.AdapterDecided(token, resident))
+            case calls.Refuse():
                 self._refuse(action.refusal)
                 return True
-            case gateway.Replay():
+            case calls.Replay():
                 self._replay(action.outcome)
                 return True
-            case gateway.Abandon():
+            case calls.Abandon():
                 raise ConnectionResetError(errno.ECONNRESET, "caller gone")
         return False
 
-    def _tell(self, event: gateway.Event) -> None:
+    def _tell(self, event: calls.Event) -> None:
         self._parts.tell(event)
 
     def _refuse(self, refusal: refusals.Refusal) -> None:
@@ -557,13 +557,13 @@
     def _count_refusal(self, refusal: refusals.Refusal) -> None:
         self._parts.meters.count_refusal(refusal.code.value, refusal.run.value)
 
-    def _count_first_byte(self, action: gateway.Send, status: int) -> None:
+    def _count_first_byte(self, action: calls.Send, status: int) -> None:
         meters = self._parts.meters
         meters.count_request(status)
         if action.cold:
             meters.observe_cold_start(self._parts.now() - self._arrived)
 
-    def _replay(self, outcome: gateway.StoredOutcome) -> None:
+    def _replay(self, outcome: calls.StoredOutcome) -> None:
         _write_answer(
             self._req,
             outcome.status,
@@ -573,7 +573,7 @@
             self._parsed.request.request_id,
         )
 
-    def _open(self, action: gateway.Open) -> None:
+    def _open(self, action: calls.Open) -> None:
         if self._opened is not None:
             self._opened.close()
             self._opened = None
@@ -583,11 +583,11 @@
                 action.address, self._deadline
             )
         except targets.AttemptError as error:
-            self._tell(gateway.AttemptEnded(self._call.token, error.failure))
+            self._tell(calls.AttemptEnded(self._call.token, error.failure))
         else:
-            self._tell(gateway.Opened(self._call.token))
+            self._tell(calls.Opened(self._call.token))
 
-    def _send(self, action: gateway.Send) -> bool:
+    def _send(self, action: calls.Send) -> bool:
         """Makes one attempt; returns whether the caller has its answer."""
         self._sends += 1
         if self._sends > 1:
@@ -604,11 +604,11 @@
             self._fail(action, error.failure)
             return False
 
-    def _fail(self, action: gateway.Send, failure: retries.Failure) -> None:
+    def _fail(self, action: calls.Send, failure: retries.Failure) -> None:
         if failure in (retries.Failure.SILENT, retries.Failure.CUT):
             self._parts.client.drop_idle(action.address)
         self._tell(
-            gateway.AttemptEnded(
+            calls.AttemptEnded(
                 self._call.token,
                 failure,
                 self._writer.is_started,
@@ -616,7 +616,7 @@
             )
         )
 
-    def _take_connection(self, action: gateway.Send) -> targets.Connection:
+    def _take_connection(self, action: calls.Send) -> targets.Connection:
         opened, self._opened = self._opened, None
         if opened is not None:
             if self._opened_address == action.address and opened.is_connected:
@@ -628,7 +628,7 @@
 
     def _exchange(
         self,
-        action: gateway.Send,
+        action: calls.Send,
         connection: targets.Connection,
         attempt: targets.Attempt,
     ) -> bool:
@@ -650,7 +650,7 @@
             failure = targets.classify_completion(answer)
             if failure is not None:
                 raise targets.AttemptError(failure)
-        self._tell(gateway.AttemptEnded(self._call.token, None))
+        self._tell(calls.AttemptEnded(self._call.token, None))
         self._count_first_byte(action, answer.status)
         self._store(answer)
         _write_answer(
@@ -663,7 +663,7 @@
         )
         return True
 
-    def _make_outgoing(self, action: gateway.Send) -> targets.Outgoing:
+    def _make_outgoing(self, action: calls.Send) -> targets.Outgoing:
         headers = self._parsed.headers
         body = self._parsed.body
         document = self._parsed.document
@@ -694,7 +694,7 @@
             for name, value in answer.headers
             if name.lower() not in _HOP_BY_HOP
         )
-        outcome = gateway.StoredOutcome(
+        outcome = calls.StoredOutcome(
             answer.status, headers, answer.body, self._parsed.request.digest
         )
         if not self._parts.link.store_outcome(key, outcome):
@@ -702,7 +702,7 @@
 
     def _copy_stream(
         self,
-        action: gateway.Send,
+        action: calls.Send,
         connection: targets.Connection,
         response: targets.Response,
         attempt: targets.Attempt,
@@ -724,7 +724,7 @@
         except streams.StreamError as error:
             raise targets.AttemptError(retries.Failure.MALFORMED) from error
         self._finish_stream(action, connection, response, attempt)
-        self._tell(gateway.AttemptEnded(self._call.token, None))
+        self._tell(calls.AttemptEnded(self._call.token, None))
         return True
 
     def _write_events(self, data: bytes) -> None:
@@ -735,7 +735,7 @@
 
     def _finish_stream(
         self,
-        action: gateway.Send,
+        action: calls.Send,
         connection: targets.Connection,
         response: targets.Response,
         attempt: targets.Attempt,
@@ -855,19 +855,19 @@
     call = Call(next(tokens))
     worker = _Worker(req, parsed, call, parts)
     parts.calls[call.token] = call
-    parts.tell(gateway.Arrived(call.token, parsed.request))
+    parts.tell(calls.Arrived(call.token, parsed.request))
     handle = req.conn.socket
     parts.watch.add(handle, call.token)
     try:
         worker.run()
     finally:
         parts.watch.remove(handle)
-        parts.tell(gateway.CallEnded(call.token))
+        parts.tell(calls.CallEnded(call.token))
 
 
 def _list_models(req: Any, parts: Parts, request_id: ids.RequestId) -> None:
     names: queue.SimpleQueue[list[str]] = queue.SimpleQueue()
-    parts.tell(gateway.ModelsWanted(names.put))
+    parts.tell(calls.ModelsWanted(names.put))
     data = [
         {"id": name, "object": "model", "owned_by": "quetzalgauge"}
         for name in names.get()
--- a/src/quetzalgauge/controllink.py
+++ b/src/quetzalgauge/controllink.py
@@ -7,8 +7,8 @@
 import math
 from typing import Any
 
+from quetzalgauge import calls
 from quetzalgauge import exceptions
-from quetzalgauge import gateway
 from quetzalgauge import ids
 from quetzalgauge import messages
 from quetzalgauge import routing
@@ -27,10 +27,10 @@
 _ALIVE_MAX = datetime.timedelta(days=1)
 
 _KEY_DECISIONS = {
-    ttypes.KeyDecision.RUN: gateway.KeyDecision.RUN,
-    ttypes.KeyDecision.STORED: gateway.KeyDecision.STORED,
-    ttypes.KeyDecision.UNKNOWN: gateway.KeyDecision.UNKNOWN,
-    ttypes.KeyDecision.UNAVAILABLE: gateway.KeyDecision.UNAVAILABLE,
+    ttypes.KeyDecision.RUN: calls.KeyDecision.RUN,
+    ttypes.KeyDecision.STORED: calls.KeyDecision.STORED,
+    ttypes.KeyDecision.UNKNOWN: calls.KeyDecision.UNKNOWN,
+    ttypes.KeyDecision.UNAVAILABLE: calls.KeyDecision.UNAVAILABLE,
 }
 _REPLICA_STATES = {
     ttypes.ReplicaState.LOADING: messages.ReplicaState.LOADING,
@@ -46,7 +46,7 @@
         self._entry = entry
         self._client = wire.Client(Control, address, max_idle=8)
 
-    def sync(self, report: gateway.SendReport) -> gateway.RoutesReceived:
+    def sync(self, report: calls.SendReport) -> calls.RoutesReceived:
         """Reports and waits for news, a quarter of a second at most.
 
         Raises:
@@ -59,7 +59,7 @@
         wire.require_complete(update)
         return decode_routes(update)
 
-    def send_urgent(self, report: gateway.SendReport) -> None:
+    def send_urgent(self, report: calls.SendReport) -> None:
         """Reports demand at once. The next `sync` brings the news."""
         with contextlib.suppress(exceptions.PeerError):
             self._client.call(
@@ -68,7 +68,7 @@
 
     def claim_key(
         self, key: ids.KeyHash, timeout: datetime.timedelta
-    ) -> tuple[gateway.KeyDecision, gateway.StoredOutcome | None]:
+    ) -> tuple[calls.KeyDecision, calls.StoredOutcome | None]:
         """Claims an idempotency key; any failure is UNAVAILABLE."""
         try:
             reply = self._client.call(
@@ -79,19 +79,19 @@
                 timeout=timeout + _ANSWER_TIME,
             )
         except exceptions.PeerError:
-            return gateway.KeyDecision.UNAVAILABLE, None
+            return calls.KeyDecision.UNAVAILABLE, None
         decision = _KEY_DECISIONS.get(
-            reply.decision, gateway.KeyDecision.UNAVAILABLE
+            reply.decision, calls.KeyDecision.UNAVAILABLE
         )
-        if decision is not gateway.KeyDecision.STORED:
+        if decision is not calls.KeyDecision.STORED:
             return decision, None
         outcome = decode_outcome(reply.outcome)
         if outcome is None:
-            return gateway.KeyDecision.UNKNOWN, None
+            return calls.KeyDecision.UNKNOWN, None
         return decision, outcome
 
     def store_outcome(
-        self, key: ids.KeyHash, outcome: gateway.StoredOutcome
+        self, key: ids.KeyHash, outcome: calls.StoredOutcome
     ) -> bool:
         """Stores an outcome for later tries; returns whether it was kept."""
         if len(outcome.body) > MAX_STORED_BYTES:
@@ -131,7 +131,7 @@
         """Closes idle connections."""
         self._client.close()
 
-    def _encode_report(self, report: gateway.SendReport) -> Any:
+    def _encode_report(self, report: calls.SendReport) -> Any:
         return ttypes.EntryReport(
             entry=self._entry,
             routes_version=report.routes_version,
@@ -142,7 +142,7 @@
             draining=report.draining,
         )
 
-    def _encode_demand(self, demand: gateway.Demand) -> Any:
+    def _encode_demand(self, demand: calls.Demand) -> Any:
         return ttypes.Demand(
             model=demand.servable.model,
             version=demand.servable.version,
@@ -154,7 +154,7 @@
         )
 
 
-def encode_outcome(outcome: gateway.StoredOutcome) -> Any:
+def encode_outcome(outcome: calls.StoredOutcome) -> Any:
     """Returns the Thrift form of an outcome."""
     headers = dict(outcome.headers)
     headers[_DIGEST_HEADER] = outcome.digest
@@ -163,12 +163,12 @@
     )
 
 
-def decode_outcome(outcome: Any) -> gateway.StoredOutcome | None:
+def decode_outcome(outcome: Any) -> calls.StoredOutcome | None:
     """Returns a stored outcome; None if it is unknown or incomplete."""
     if outcome is None or not outcome.known or not outcome.status:
         return None
     headers: Mapping[str, str] = outcome.headers or {}
-    return gateway.StoredOutcome(
+    return calls.StoredOutcome(
         outcome.status,
         tuple(
             (name, value)
@@ -180,7 +180,7 @@
     )
 
 
-def decode_routes(update: Any) -> gateway.RoutesReceived:
+def decode_routes(update: Any) -> calls.RoutesReceived:
     """Returns the core form of a RouteUpdate.
 
     Raises:
@@ -199,7 +199,7 @@
             for one in update.service_targets
             if _is_address(one.address)
         )
-    return gateway.RoutesReceived(
+    return calls.RoutesReceived(
         update.routes_version,
         update.catalog_version,
         replicas,
@@ -227,8 +227,8 @@
     return True
 
 
-def _model(entry: Any) -> gateway.Model:
-    return gateway.Model(
+def _model(entry: Any) -> calls.Model:
+    return calls.Model(
         ids.ModelName(entry.model),
         frozenset(ids.VersionName(one) for one in entry.versions),
         ids.VersionName(entry.default_version),
@@ -266,8 +266,8 @@
 
 def run_sync(
     link: ControlLink,
-    ask_report: Callable[[], gateway.SendReport | None],
-    tell: Callable[[gateway.Event], None],
+    ask_report: Callable[[], calls.SendReport | None],
+    tell: Callable[[calls.Event], None],
     pause: Callable[[float], bool],
 ) -> None:
     """Exchanges reports and routes until there is no report any more.
@@ -288,7 +288,7 @@
             update = link.sync(report)
         except (exceptions.PeerError, exceptions.DecodeError):
             if not lost:
-                tell(gateway.ControlLost())
+                tell(calls.ControlLost())
             lost = True
             if pause(delay):
                 return
@@ -299,8 +299,8 @@
         tell(update)
 
 
-def _ask_everything(report: gateway.SendReport) -> gateway.SendReport:
-    return gateway.SendReport(
+def _ask_everything(report: calls.SendReport) -> calls.SendReport:
+    return calls.SendReport(
         0,
         0,
         report.demands,
--- a/src/quetzalgauge/entry.py
+++ b/src/quetzalgauge/entry.py
@@ -15,6 +15,7 @@
 import cyclopts
 
 from quetzalgauge import callers
+from quetzalgauge import calls
 from quetzalgauge import clock
 from quetzalgauge import controllink
 from quetzalgauge import exceptions
@@ -47,13 +48,11 @@
     def __init__(self, config: settings.EntrySettings) -> None:
         self._config = config
         self._now = clock.make_monotonic_clock()
-        self._inbox: queue.SimpleQueue[gateway.Event] = queue.SimpleQueue()
-        self._reports: queue.SimpleQueue[gateway.SendReport | None] = (
-            queue.SimpleQueue()
-        )
-        self._urgent: queue.SimpleQueue[gateway.SendReport] = (
+        self._inbox: queue.SimpleQueue[calls.Event] = queue.SimpleQueue()
+        self._reports: queue.SimpleQueue[calls.SendReport | None] = (
             queue.SimpleQueue()
         )
+        self._urgent: queue.SimpleQueue[calls.SendReport] = queue.SimpleQueue()
         self._calls: dict[int, callers.Call] = {}
         self._stopped = threading.Event()
         self._cut = 0
@@ -127,7 +126,7 @@
 
     def drain(self) -> None:
         """Starts the graceful shutdown."""
-        self._inbox.put(gateway.DrainRequested())
+        self._inbox.put(calls.DrainRequested())
 
     def wait(self) -> int:
         """Waits for the end of the shutdown; returns the calls cut off."""
@@ -152,7 +151,7 @@
         while True:
             now = self._now()
             if now >= next_tick:
-                self._step(gateway.Tick(), now)
+                self._step(calls.Tick(), now)
                 self._ticked = now
                 self._report_queues()
                 next_tick = now + TICK
@@ -176,38 +175,38 @@
 
     def _dump(self) -> dict[str, Any]:
         answers: queue.SimpleQueue[dict[str, Any]] = queue.SimpleQueue()
-        self._inbox.put(gateway.DumpWanted(answers.put))
+        self._inbox.put(calls.DumpWanted(answers.put))
         try:
             return answers.get(timeout=DUMP_TIMEOUT_SECONDS)
         except queue.Empty:
             raise exceptions.PeerError("the owner task is busy") from None
 
-    def _step(self, event: gateway.Event, now: datetime.timedelta) -> None:
+    def _step(self, event: calls.Event, now: datetime.timedelta) -> None:
         actions = self._gateway.step(event, now)
-        if isinstance(event, gateway.CallEnded):
+        if isinstance(event, calls.CallEnded):
             self._calls.pop(event.token, None)
         for action in actions:
             self._carry_out(action)
 
-    def _carry_out(self, action: gateway.Action) -> None:
+    def _carry_out(self, action: calls.Action) -> None:
         match action:
-            case gateway.SendReport(urgent=True):
+            case calls.SendReport(urgent=True):
                 self._urgent.put(action)
-            case gateway.SendReport():
+            case calls.SendReport():
                 self._reports.put(action)
-            case gateway.Stop():
+            case calls.Stop():
                 self._cut = action.cut
                 self._reports.put(None)
                 self._stopped.set()
-            case gateway.CancelAttempt():
+            case calls.CancelAttempt():
                 self._calls[action.token].attempt.end(action.failure)
             case _:
                 self._calls[action.token].put(action)
 
-    def _ask_report(self) -> gateway.SendReport | None:
+    def _ask_report(self) -> calls.SendReport | None:
         if self._stopped.is_set():
             return None
-        self._inbox.put(gateway.ReportWanted())
+        self._inbox.put(calls.ReportWanted())
         return self._reports.get()
 
     def _run_urgent(self) -> None:
--- a/src/quetzalgauge/gateway.py
+++ b/src/quetzalgauge/gateway.py
@@ -1,8 +1,6 @@
 """The core of an entry process: admission, routing and retries.
 
-`step(event, now)` returns the actions that the shell carries out. Every call
-that arrived gets actions until its last one: `Refuse`, `Replay`, `Abandon`, or
-a successful attempt.
+`step(event, now)` takes the events of module `calls` and returns its actions.
 """
 
 from collections.abc import Callable
@@ -10,14 +8,15 @@
 import datetime
 import enum
 from typing import Any
-from typing import TypeAlias
 
 from quetzalgauge import admission
+from quetzalgauge import calls
 from quetzalgauge import drain
 from quetzalgauge import ids
 from quetzalgauge import messages
 from quetzalgauge import refusals
 from quetzalgauge import retries
+from quetzalgauge import routetable
 from quetzalgauge import routing
 
 SUSPECT_TIME = datetime.timedelta(seconds=2)
@@ -33,12 +32,6 @@
 # after this time costs one call to control.
 RESIDENCY_TIME = datetime.timedelta(seconds=60)
 MAX_RESUMES = 3
-# A restarted control process registers in the log and takes its leases again
-# before it names replicas. For this time after its first routes, and as long
-# as it cannot reach the log, those that it does not name are kept.
-REPLICA_GRACE = datetime.timedelta(seconds=10)
-# It knows plain services as soon as it has read the instance list.
-SERVICE_GRACE = datetime.timedelta(seconds=3)
 # Callers get an error for what is cut off when a drain times out.
 CUT_TIME = datetime.timedelta(seconds=1)
 # Keys claimed by this process whose requests never ran.
@@ -47,350 +40,6 @@
 _ZERO = datetime.timedelta()
 
 
-class Kind(enum.Enum):
-    """What a request asks for."""
-
-    COMPLETION = "completion"
-    PLAIN = "plain"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """A caller's request without its body.
-
-    Attributes:
-        request_id: Identifies the request towards caller and target.
-        kind: Completion or call of a plain service.
-        name: The `model` field, or the plain service's name.
-        stream: Whether the answer is a stream of events.
-        repeatable: Whether it may run more than once.
-        priority: 0 to 9, None for the model's own.
-        deadline: Time by which the whole answer is due.
-        key: Hash of the idempotency key, None without one.
-        digest: Digest of method, path and body; equal for a repetition.
-    """
-
-    request_id: ids.RequestId
-    kind: Kind
-    name: str
-    stream: bool
-    repeatable: bool
-    priority: int | None
-    deadline: datetime.timedelta
-    key: ids.KeyHash | None = None
-    digest: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Model:
-    """A model of the catalog."""
-
-    name: ids.ModelName
-    versions: frozenset[ids.VersionName]
-    default_version: ids.VersionName
-    priority: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Demand:
-    """Waiting and running requests of a model."""
-
-    servable: routing.Servable
-    waiting: int
-    running: int
-    oldest_wait: datetime.timedelta
-    priority: int
-
-
-class KeyDecision(enum.Enum):
-    """What control decided about an idempotency key."""
-
-    RUN = "run"
-    STORED = "stored"
-    UNKNOWN = "unknown"
-    UNAVAILABLE = "unavailable"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredOutcome:
-    """The answer that an earlier try with the same key got."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    digest: str
-
-
-# ---- Events ----------------------------------------------------------------
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Arrived:
-    """A request arrived. `token` is unique among calls in progress."""
-
-    token: int
-    request: Request
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Opened:
-    """A connection was made for `Open`; nothing was sent yet."""
-
-    token: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyDecided:
-    """Answers `ClaimKey`."""
-
-    token: int
-    decision: KeyDecision
-    outcome: StoredOutcome | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AdapterDecided:
-    """Answers `EnsureAdapter`."""
-
-    token: int
-    resident: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AttemptEnded:
-    """An attempt got its whole answer (failure None) or failed.
-
-    Attributes:
-        token: The call.
-        failure: None after a whole answer.
-        answered: Whether the caller has received a byte of the answer.
-        last_event: Last event id passed on, empty if none.
-    """
-
-    token: int
-    failure: retries.Failure | None
-    answered: bool = False
-    last_event: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallEnded:
-    """The caller has its answer or refusal, or the connection is closed."""
-
-    token: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerGone:
-    """The caller closed its connection."""
-
-    token: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RoutesReceived:
-    """Control sent routes or catalog. None: no change of that part.
-
-    Attributes:
-        routes_version: Version of the routes.
-        catalog_version: Version of the catalog.
-        replicas: All replicas, or None.
-        service_targets: All targets of plain services, or None.
-        catalog_complete: Whether models and adapters replace the catalog.
-        models: Changed models by name; None means removed.
-        adapters: Model of each changed adapter; None means removed.
-        log_reachable: Whether control reaches the log.
-    """
-
-    routes_version: int
-    catalog_version: int
-    replicas: tuple[routing.Replica, ...] | None
-    service_targets: tuple[routing.ServiceTarget, ...] | None
-    catalog_complete: bool
-    models: dict[ids.ModelName, Model | None]
-    adapters: dict[ids.AdapterName, ids.ModelName | None]
-    log_reachable: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReportWanted:
-    """The next report to control is due."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DrainRequested:
-    """A planned stop has begun."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tick:
-    """Time has passed. Sent several times a second."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ControlLost:
-    """The control process does not answer; the last routes stay."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ModelsWanted:
-    """A caller lists models. The reply's value is the sorted names."""
-
-    reply: Callable[[list[str]], None]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DumpWanted:
-    """An operator wants the state. The reply's value is JSON data."""
-
-    reply: Callable[[dict[str, Any]], None]
-
-
-Event: TypeAlias = (
-    Arrived
-    | Opened
-    | KeyDecided
-    | AdapterDecided
-    | AttemptEnded
-    | CallEnded
-    | CallerGone
-    | RoutesReceived
-    | ReportWanted
-    | DrainRequested
-    | Tick
-    | ControlLost
-    | ModelsWanted
-    | DumpWanted
-)
-
-
-# ---- Actions ---------------------------------------------------------------
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Open:
-    """Connect to a target; ends with Opened or AttemptEnded."""
-
-    token: int
-    target: ids.TargetId
-    address: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimKey:
-    """Claim an idempotency key; ends with KeyDecided."""
-
-    token: int
-    key: ids.KeyHash
-    timeout: datetime.timedelta
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EnsureAdapter:
-    """Make an adapter resident; ends with AdapterDecided."""
-
-    token: int
-    target: ids.TargetId
-    adapter: ids.AdapterName
-    timeout: datetime.timedelta
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Send:
-    """Send the request once; ends with one AttemptEnded.
-
-    Attributes:
-        token: The call.
-        target: The target.
-        address: HOST:PORT of the target.
-        fresh: A connection that was never used is required.
-        model: What the target gets as `model`, empty for a plain service.
-        adapter: The adapter, or None.
-        resume_after: Event id after which a stream goes on, or empty.
-        cold: Whether the request waited for a load.
-        servable: Model and version, None for a plain service.
-    """
-
-    token: int
-    target: ids.TargetId
-    address: str
-    fresh: bool
-    model: str = ""
-    adapter: ids.AdapterName | None = None
-    resume_after: str = ""
-    cold: bool = False
-    servable: routing.Servable | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refuse:
-    """Give the caller a refusal, or end its stream with an error event."""
-
-    token: int
-    refusal: refusals.Refusal
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Replay:
-    """Give the caller the outcome of an earlier try."""
-
-    token: int
-    outcome: StoredOutcome
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Abandon:
-    """The caller has gone; close its connection."""
-
-    token: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CancelAttempt:
-    """End the attempt in progress with this failure; it may end otherwise."""
-
-    token: int
-    failure: retries.Failure
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendReport:
-    """Report to control.
-
-    An urgent one goes out at once, beside the long poll in progress, because
-    a cold start would otherwise wait for the end of that poll.
-    """
-
-    routes_version: int
-    catalog_version: int
-    demands: tuple[Demand, ...]
-    in_flight: dict[ids.TargetId, int]
-    suspects: tuple[ids.TargetId, ...]
-    draining: bool
-    urgent: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stop:
-    """The process may end. `cut`: calls are still in progress."""
-
-    cut: int
-
-
-Action: TypeAlias = (
-    Open
-    | ClaimKey
-    | EnsureAdapter
-    | Send
-    | Refuse
-    | Replay
-    | Abandon
-    | CancelAttempt
-    | SendReport
-    | Stop
-)
-
-
 # ---- State -----------------------------------------------------------------
 
 
@@ -415,7 +64,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Call:
-    request: Request
+    request: calls.Request
     arrived: datetime.timedelta
     servable: routing.Servable | None = None
     adapter: ids.AdapterName | None = None
@@ -487,23 +136,9 @@
         ] = {}
         self._open_keys: dict[ids.KeyHash, str] = {}
         self._unused_keys: dict[ids.KeyHash, str] = {}
-        self._replicas: dict[routing.Servable, list[routing.Replica]] = {}
-        self._service_targets: dict[
-            ids.ServiceName, list[routing.ServiceTarget]
-        ] = {}
-        self._models: dict[ids.ModelName, Model] = {}
-        self._adapters: dict[ids.AdapterName, ids.ModelName] = {}
-        self._names: list[str] | None = None
-        self._routes_at = _ZERO
-        self._grace_pending = False
-        self._replica_grace: datetime.timedelta | None = None
-        self._service_grace: datetime.timedelta | None = None
-        self._latest: RoutesReceived | None = None
-        self._routes_version = 0
-        self._catalog_version = 0
+        self._table = routetable.RouteTable()
         self._streams = 0
         self._sequence = 0
-        self._log_reachable = False
         self._stopped = False
         self._stop_by: datetime.timedelta | None = None
         self._cut = 0
@@ -511,7 +146,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether new requests are accepted and routes are known."""
-        return self._drain.accepts and self._routes_version > 0
+        return self._drain.accepts and self._table.routes_version > 0
 
     @property
     def accepts(self) -> bool:
@@ -545,16 +180,20 @@
             for servable, queue in self._queues.items()
         }
 
-    def step(self, event: Event, now: datetime.timedelta) -> list[Action]:
+    def step(
+        self, event: calls.Event, now: datetime.timedelta
+    ) -> list[calls.Action]:
         """Takes one event and returns the actions to carry out."""
         self._marks.expire(now)
         handler = _HANDLERS[type(event)]
-        actions: list[Action] = handler(self, event, now)
+        actions: list[calls.Action] = handler(self, event, now)
         return actions
 
     # ---- Arrival
 
-    def _arrived(self, event: Arrived, now: datetime.timedelta) -> list[Action]:
+    def _arrived(
+        self, event: calls.Arrived, now: datetime.timedelta
+    ) -> list[calls.Action]:
         call = _Call(event.request, now)
         refusal = self._check_arrival(call, now)
         if refusal is None:
@@ -582,7 +221,7 @@
             return refusals.Code.QUEUE_FULL, "too many requests in progress"
         if call.request.stream and self._streams >= self._limits.max_streams:
             return refusals.Code.TOO_MANY_STREAMS, "too many open streams"
-        if self._routes_version == 0:
+        if self._table.routes_version == 0:
             return refusals.Code.NO_TARGET, "no routes are known yet"
         if now >= call.request.deadline:
             return refusals.Code.DEADLINE_EXCEEDED, "the deadline has passed"
@@ -590,25 +229,19 @@
 
     def _resolve(self, call: _Call) -> tuple[refusals.Code, str] | None:
         name = call.request.name
-        if call.request.kind is Kind.PLAIN:
-            if ids.ServiceName(name) not in self._service_targets:
+        if call.request.kind is calls.Kind.PLAIN:
+            if ids.ServiceName(name) not in self._table.service_targets:
                 return refusals.Code.UNKNOWN_SERVICE, f"no service {name!r}"
             return None
-        model_name, _, version = name.partition("@")
-        adapter = ids.AdapterName(name)
-        if adapter in self._adapters and name not in self._models:
-            call.adapter = adapter
-            model_name, version = self._adapters[adapter], ""
-        model = self._models.get(ids.ModelName(model_name))
-        wanted = ids.VersionName(version) or (
-            model.default_version if model else ids.VersionName("")
-        )
-        if model is None or wanted not in model.versions:
+        found = self._table.resolve(name)
+        if found is None:
             return refusals.Code.UNKNOWN_MODEL, f"no model {name!r}"
-        call.servable = routing.Servable(model.name, wanted)
+        call.servable, call.adapter = found
         return None
 
-    def _open_key(self, request: Request) -> tuple[refusals.Code, str] | None:
+    def _open_key(
+        self, request: calls.Request
+    ) -> tuple[refusals.Code, str] | None:
         assert request.key is not None
         known = self._open_keys.get(request.key)
         if known is None:
@@ -630,12 +263,12 @@
 
     def _enqueue(
         self, token: int, call: _Call, now: datetime.timedelta
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         servable = call.servable
         assert servable is not None
         call.cold = not any(
             replica.state is messages.ReplicaState.READY
-            for replica in self._replicas.get(servable, ())
+            for replica in self._table.replicas.get(servable, ())
         )
         is_new = servable not in self._queues
         self._put_in_queue(token, call)
@@ -646,7 +279,7 @@
             actions.append(self._make_report(now, urgent=True))
         return actions
 
-    def _refuse_excess(self, servable: routing.Servable) -> list[Action]:
+    def _refuse_excess(self, servable: routing.Servable) -> list[calls.Action]:
         queue = self._queues.get(servable)
         if queue is None:
             return []
@@ -661,7 +294,7 @@
         assert call.servable is not None
         priority = call.request.priority
         if priority is None:
-            model = self._models.get(call.servable.model)
+            model = self._table.models.get(call.servable.model)
             priority = model.priority if model else 0
         self._sequence += 1
         call.phase = _Phase.WAITING
@@ -680,7 +313,7 @@
         self, servable: routing.Servable, now: datetime.timedelta
     ) -> list[admission.ReplicaLoad]:
         loads = []
-        for replica in self._replicas.get(servable, ()):
+        for replica in self._table.replicas.get(servable, ()):
             if replica.target in self._marks.leaving:
                 continue
             if replica.state is messages.ReplicaState.UNLOADING:
@@ -688,7 +321,7 @@
             ready_in = _ZERO
             if replica.state is messages.ReplicaState.LOADING:
                 ready_in = max(
-                    _ZERO, replica.ready_in - (now - self._routes_at)
+                    _ZERO, replica.ready_in - (now - self._table.received_at)
                 )
             key = (replica.target, servable)
             loads.append(
@@ -700,13 +333,13 @@
 
     def _refuse_hopeless(
         self, servable: routing.Servable, now: datetime.timedelta
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         queue = self._queues.get(servable)
         if not queue:
             return []
         loads = self._loads(servable, now)
         mean = self._service_time(servable).mean
-        actions: list[Action] = []
+        actions: list[calls.Action] = []
         for waiting, wait in admission.find_hopeless(queue, loads, mean, now):
             queue.remove(waiting)
             actions.append(self._refuse_wait(waiting, wait, bool(loads), now))
@@ -718,7 +351,7 @@
         wait: datetime.timedelta,
         any_replica: bool,
         now: datetime.timedelta,
-    ) -> Action:
+    ) -> calls.Action:
         if now < waiting.deadline:
             return self._refuse(
                 waiting.token,
@@ -751,11 +384,11 @@
 
     def _pump(
         self, servable: routing.Servable, now: datetime.timedelta
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         queue = self._queues.get(servable)
         if not queue:
             return []
-        actions: list[Action] = []
+        actions: list[calls.Action] = []
         for waiting in queue:
             call = self._calls[waiting.token]
             candidate = self._route(
@@ -774,7 +407,7 @@
         self, servable: routing.Servable
     ) -> list[routing.Candidate]:
         found = []
-        for replica in self._replicas.get(servable, ()):
+        for replica in self._table.replicas.get(servable, ()):
             key = (replica.target, servable)
             if replica.state is not messages.ReplicaState.READY:
                 continue
@@ -793,11 +426,11 @@
 
     def _dispatch_plain(
         self, token: int, call: _Call, now: datetime.timedelta
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         service = ids.ServiceName(call.request.name)
         candidates = [
             routing.Candidate(one.target, one.address, one.availability_zone)
-            for one in self._service_targets.get(service, ())
+            for one in self._table.service_targets.get(service, ())
             if not self._marks.excludes(one.target)
         ]
         candidate = self._route(candidates, call.tried, self._in_flight, None)
@@ -817,7 +450,7 @@
         call: _Call,
         candidate: routing.Candidate,
         now: datetime.timedelta,
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         call.waiting = None
         call.target = candidate
         call.tried.add(candidate.target)
@@ -827,7 +460,7 @@
             if known is None or known <= now:
                 call.phase = _Phase.ADAPTER
                 return [
-                    EnsureAdapter(
+                    calls.EnsureAdapter(
                         token,
                         candidate.target,
                         call.adapter,
@@ -838,7 +471,7 @@
 
     def _open_or_send(
         self, token: int, call: _Call, now: datetime.timedelta
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         assert call.target is not None
         if call.request.key is not None and not call.key_claimed:
             if call.request.key in self._unused_keys:
@@ -846,7 +479,9 @@
                 self._unused_keys.pop(call.request.key)
             else:
                 call.phase = _Phase.OPENING
-                return [Open(token, call.target.target, call.target.address)]
+                return [
+                    calls.Open(token, call.target.target, call.target.address)
+                ]
         return [self._send(token, call, now)]
 
     def _send(
@@ -855,12 +490,12 @@
         call: _Call,
         now: datetime.timedelta,
         resume_after: str = "",
-    ) -> Action:
+    ) -> calls.Action:
         assert call.target is not None
         call.phase = _Phase.SENT
         call.ever_sent = True
         call.sent_at = now
-        return Send(
+        return calls.Send(
             token,
             call.target.target,
             call.target.address,
@@ -878,7 +513,7 @@
         """Returns the model's name, with the version if it is ambiguous."""
         if servable is None:
             return ""
-        for other, replicas in self._replicas.items():
+        for other, replicas in self._table.replicas.items():
             if other.model != servable.model or other == servable:
                 continue
             if any(replica.target == target for replica in replicas):
@@ -894,18 +529,20 @@
 
     # ---- Progress of a call
 
-    def _opened(self, event: Opened, now: datetime.timedelta) -> list[Action]:
+    def _opened(
+        self, event: calls.Opened, now: datetime.timedelta
+    ) -> list[calls.Action]:
         call = self._calls[event.token]
         assert call.request.key is not None
         call.phase = _Phase.CLAIMING
         left = call.request.deadline - now
-        return [ClaimKey(event.token, call.request.key, left)]
+        return [calls.ClaimKey(event.token, call.request.key, left)]
 
     def _key_decided(
-        self, event: KeyDecided, now: datetime.timedelta
-    ) -> list[Action]:
+        self, event: calls.KeyDecided, now: datetime.timedelta
+    ) -> list[calls.Action]:
         call = self._calls[event.token]
-        if event.decision is KeyDecision.RUN:
+        if event.decision is calls.KeyDecision.RUN:
             call.key_claimed = True
             if now >= call.request.deadline:
                 return self._give_up(
@@ -918,7 +555,7 @@
             if not self._is_usable(call):
                 return self._choose_again(event.token, call, now)
             return [self._send(event.token, call, now)]
-        if event.decision is KeyDecision.UNAVAILABLE:
+        if event.decision is calls.KeyDecision.UNAVAILABLE:
             return self._give_up(
                 event.token,
                 call,
@@ -926,7 +563,7 @@
                 "the idempotency key could not be claimed",
                 now,
             )
-        if event.decision is KeyDecision.UNKNOWN or event.outcome is None:
+        if event.decision is calls.KeyDecision.UNKNOWN or event.outcome is None:
             return self._give_up(
                 event.token,
                 call,
@@ -944,11 +581,11 @@
             )
         actions = self._leave_target(call, now)
         self._finish(call)
-        return [Replay(event.token, event.outcome), *actions]
+        return [calls.Replay(event.token, event.outcome), *actions]
 
     def _adapter_decided(
-        self, event: AdapterDecided, now: datetime.timedelta
-    ) -> list[Action]:
+        self, event: calls.AdapterDecided, now: datetime.timedelta
+    ) -> list[calls.Action]:
         call = self._calls[event.token]
         assert call.target is not None
         assert call.adapter is not None
@@ -963,13 +600,13 @@
 
     def _adapter_refused(
         self, token: int, call: _Call, now: datetime.timedelta
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         """Tries the other replicas, each once; control has waited already."""
         assert call.servable is not None
         failure = retries.Failure.ADAPTER_NOT_LOADED
         others = {
             replica.target
-            for replica in self._replicas.get(call.servable, ())
+            for replica in self._table.replicas.get(call.servable, ())
             if replica.state is messages.ReplicaState.READY
         } - call.tried
         is_late = now >= call.request.deadline
@@ -985,8 +622,8 @@
         )
 
     def _attempt_ended(
-        self, event: AttemptEnded, now: datetime.timedelta
-    ) -> list[Action]:
+        self, event: calls.AttemptEnded, now: datetime.timedelta
+    ) -> list[calls.Action]:
         call = self._calls[event.token]
         if event.failure is None:
             if call.servable is not None:
@@ -1000,8 +637,8 @@
         return self._failed(event.token, call, event.failure, now)
 
     def _failed_after_answer(
-        self, event: AttemptEnded, call: _Call, now: datetime.timedelta
-    ) -> list[Action]:
+        self, event: calls.AttemptEnded, call: _Call, now: datetime.timedelta
+    ) -> list[calls.Action]:
         failure = event.failure
         assert failure is not None
         assert call.target is not None
@@ -1038,13 +675,13 @@
         call: _Call,
         failure: retries.Failure,
         now: datetime.timedelta,
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         call.failures.append(failure)
         self._mark(call, failure, now)
         if call.caller_gone or failure is retries.Failure.ABANDONED:
             actions = self._leave_target(call, now)
             self._finish(call)
-            return [Abandon(token), *actions]
+            return [calls.Abandon(token), *actions]
         if failure is retries.Failure.DEADLINE or now >= call.request.deadline:
             return self._give_up(
                 token,
@@ -1072,7 +709,7 @@
 
     def _again(
         self, token: int, call: _Call, now: datetime.timedelta
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         if call.servable is None:
             return self._dispatch_plain(token, call, now)
         self._put_in_queue(token, call)
@@ -1093,22 +730,22 @@
             return any(
                 replica.target == target
                 and replica.state is messages.ReplicaState.READY
-                for replica in self._replicas.get(call.servable, ())
+                for replica in self._table.replicas.get(call.servable, ())
             )
         service = ids.ServiceName(call.request.name)
         return any(
             one.target == target
-            for one in self._service_targets.get(service, ())
+            for one in self._table.service_targets.get(service, ())
         )
 
     def _choose_again(
         self, token: int, call: _Call, now: datetime.timedelta
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         """Chooses another target; nothing was sent to the first one."""
         actions = self._leave_target(call, now)
         if call.caller_gone:
             self._finish(call)
-            return [*actions, Abandon(token)]
+            return [*actions, calls.Abandon(token)]
         return actions + self._again(token, call, now)
 
     def _mark(
@@ -1140,7 +777,7 @@
 
     def _leave_target(
         self, call: _Call, now: datetime.timedelta
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         """Gives back the place on the target and hands it to the queue."""
         if call.target is None:
             return []
@@ -1158,7 +795,7 @@
         code: refusals.Code,
         message: str,
         now: datetime.timedelta,
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         actions = self._leave_target(call, now)
         return [self._refuse(token, code, message), *actions]
 
@@ -1168,15 +805,15 @@
         code: refusals.Code,
         message: str,
         retry_after: datetime.timedelta = refusals.DEFAULT_RETRY_AFTER,
-    ) -> Action:
+    ) -> calls.Action:
         call = self._calls[token]
         run = retries.run_after(call.failures)
         if code is refusals.Code.OUTCOME_UNKNOWN:
             run = refusals.Run.UNKNOWN
         self._finish(call)
         if call.caller_gone:
-            return Abandon(token)
-        return Refuse(
+            return calls.Abandon(token)
+        return calls.Refuse(
             token,
             refusals.Refusal(
                 code, message, call.request.request_id, run, retry_after
@@ -1206,8 +843,8 @@
         )
 
     def _caller_gone(
-        self, event: CallerGone, now: datetime.timedelta
-    ) -> list[Action]:
+        self, event: calls.CallerGone, now: datetime.timedelta
+    ) -> list[calls.Action]:
         call = self._calls.get(event.token)
         if call is None or call.phase is _Phase.FINISHED:
             return []
@@ -1217,19 +854,19 @@
             if call.waiting is not None:
                 self._queues[call.servable].remove(call.waiting)
             self._finish(call)
-            return [Abandon(event.token)]
+            return [calls.Abandon(event.token)]
         if call.phase is _Phase.SENT and call.request.repeatable:
             # Other phases end soon by themselves, and a call that may not be
             # repeated goes on so that its outcome is kept.
             if call.request.key is not None:
                 return []
             call.cancelled = True
-            return [CancelAttempt(event.token, retries.Failure.ABANDONED)]
+            return [calls.CancelAttempt(event.token, retries.Failure.ABANDONED)]
         return []
 
     def _call_ended(
-        self, event: CallEnded, now: datetime.timedelta
-    ) -> list[Action]:
+        self, event: calls.CallEnded, now: datetime.timedelta
+    ) -> list[calls.Action]:
         call = self._calls.pop(event.token)
         if call.request.stream:
             self._streams -= 1
@@ -1252,133 +889,51 @@
     # ---- Routes, reports and time
 
     def _routes_received(
-        self, event: RoutesReceived, now: datetime.timedelta
-    ) -> list[Action]:
-        self._log_reachable = event.log_reachable
-        # A control process that has just started knows neither catalog nor
-        # routes and says so with version 0.
-        if event.catalog_version > 0:
-            self._update_catalog(event)
-            self._catalog_version = event.catalog_version
-        if event.routes_version <= 0:
-            return []
-        self._routes_version = event.routes_version
-        if event.replicas is None:
-            return []
-        if self._grace_pending:
-            self._grace_pending = False
-            self._replica_grace = now + REPLICA_GRACE
-            self._service_grace = now + SERVICE_GRACE
-        self._latest = event
-        return self._apply_routes(event, now)
-
-    def _apply_routes(
-        self, event: RoutesReceived, now: datetime.timedelta
-    ) -> list[Action]:
-        old_replicas = self._replicas
-        old_targets = self._service_targets
-        self._routes_at = now
-        self._replicas = {}
-        # A service stays known when its last target has gone, so that
-        # callers learn that it is away and not that it never existed.
-        self._service_targets = {service: [] for service in old_targets}
-        for replica in event.replicas or ():
-            self._replicas.setdefault(replica.servable, []).append(replica)
-        for one in event.service_targets or ():
-            self._service_targets.setdefault(one.service, []).append(one)
-        if self._replica_grace is not None:
-            self._keep_replicas(old_replicas)
-        if self._service_grace is not None:
-            self._keep_services(old_targets)
-        actions: list[Action] = []
+        self, event: calls.RoutesReceived, now: datetime.timedelta
+    ) -> list[calls.Action]:
+        return self._pump_all(now) if self._table.update(event, now) else []
+
+    def _pump_all(self, now: datetime.timedelta) -> list[calls.Action]:
+        actions: list[calls.Action] = []
         for servable in list(self._queues):
             actions += self._pump(servable, now)
             actions += self._refuse_hopeless(servable, now)
         return actions
 
-    def _keep_replicas(
-        self, replicas: dict[routing.Servable, list[routing.Replica]]
-    ) -> None:
-        for servable, old in replicas.items():
-            new = self._replicas.setdefault(servable, [])
-            known = {replica.target for replica in new}
-            new += [one for one in old if one.target not in known]
-
-    def _keep_services(
-        self, targets: dict[ids.ServiceName, list[routing.ServiceTarget]]
-    ) -> None:
-        for service, old in targets.items():
-            new = self._service_targets.setdefault(service, [])
-            known = {one.target for one in new}
-            new += [one for one in old if one.target not in known]
-
-    def _end_grace(self, now: datetime.timedelta) -> list[Action]:
-        before = (self._replica_grace, self._service_grace)
-        if (
-            self._replica_grace is not None
-            and now >= self._replica_grace
-            and self._log_reachable
-        ):
-            self._replica_grace = None
-        if self._service_grace is not None and now >= self._service_grace:
-            self._service_grace = None
-        changed = before != (self._replica_grace, self._service_grace)
-        if not changed or self._latest is None:
-            return []
-        return self._apply_routes(self._latest, now)
-
     def _control_lost(
-        self, event: ControlLost, now: datetime.timedelta
-    ) -> list[Action]:
-        self._log_reachable = False
-        self._grace_pending = True
+        self, event: calls.ControlLost, now: datetime.timedelta
+    ) -> list[calls.Action]:
+        self._table.note_control_lost()
         return []
 
-    def _update_catalog(self, event: RoutesReceived) -> None:
-        if event.catalog_complete or event.models or event.adapters:
-            self._names = None
-        if event.catalog_complete:
-            self._models.clear()
-            self._adapters.clear()
-        for name, model in event.models.items():
-            if model is None:
-                self._models.pop(name, None)
-            else:
-                self._models[name] = model
-        for adapter, of_model in event.adapters.items():
-            if of_model is None:
-                self._adapters.pop(adapter, None)
-            else:
-                self._adapters[adapter] = of_model
-
     def _report_wanted(
-        self, event: ReportWanted, now: datetime.timedelta
-    ) -> list[Action]:
+        self, event: calls.ReportWanted, now: datetime.timedelta
+    ) -> list[calls.Action]:
         return [self._make_report(now)]
 
     def _make_report(
         self, now: datetime.timedelta, urgent: bool = False
-    ) -> SendReport:
-        demands: dict[routing.Servable, Demand] = {}
+    ) -> calls.SendReport:
+        demands: dict[routing.Servable, calls.Demand] = {}
         for call in self._calls.values():
             if call.servable is None or call.phase is _Phase.FINISHED:
                 continue
             waits = call.phase is _Phase.WAITING
-            old = demands.get(call.servable) or Demand(
+            old = demands.get(call.servable) or calls.Demand(
                 call.servable, 0, 0, _ZERO, 0
             )
             waited = now - call.arrived if waits else _ZERO
             priority = call.waiting.priority if call.waiting else 0
-            demands[call.servable] = Demand(
+            demands[call.servable] = calls.Demand(
                 call.servable,
                 old.waiting + waits,
                 old.running + (not waits),
                 max(old.oldest_wait, waited),
                 max(old.priority, priority),
             )
-        return SendReport(
-            self._routes_version,
-            self._catalog_version,
+        return calls.SendReport(
+            self._table.routes_version,
+            self._table.catalog_version,
             tuple(demands.values()),
             dict(self._in_flight),
             tuple(self._marks.suspect),
@@ -1386,8 +941,11 @@
             urgent,
         )
 
-    def _tick(self, event: Tick, now: datetime.timedelta) -> list[Action]:
-        actions = self._end_grace(now)
+    def _tick(
+        self, event: calls.Tick, now: datetime.timedelta
+    ) -> list[calls.Action]:
+        actions: list[calls.Action] = []
+        self._table.end_grace(now)
         for servable, queue in list(self._queues.items()):
             actions += self._pump(servable, now)
             actions += self._refuse_hopeless(servable, now)
@@ -1398,18 +956,20 @@
                 continue
             if now >= call.request.deadline:
                 call.cancelled = True
-                actions.append(CancelAttempt(token, retries.Failure.DEADLINE))
+                actions.append(
+                    calls.CancelAttempt(token, retries.Failure.DEADLINE)
+                )
         for key in [one for one, end in self._resident.items() if end <= now]:
             del self._resident[key]
         return actions + self._stop_when_drained(now)
 
     def _drain_requested(
-        self, event: DrainRequested, now: datetime.timedelta
-    ) -> list[Action]:
+        self, event: calls.DrainRequested, now: datetime.timedelta
+    ) -> list[calls.Action]:
         self._drain.begin(now)
         return self._stop_when_drained(now)
 
-    def _stop_when_drained(self, now: datetime.timedelta) -> list[Action]:
+    def _stop_when_drained(self, now: datetime.timedelta) -> list[calls.Action]:
         state = self._drain.update(len(self._calls), now)
         if state is drain.State.TIMED_OUT and self._stop_by is None:
             self._stop_by = now + CUT_TIME
@@ -1421,12 +981,12 @@
         if self._stopped or not is_over:
             return []
         self._stopped = True
-        return [Stop(self._cut)]
+        return [calls.Stop(self._cut)]
 
-    def _cut_off(self, now: datetime.timedelta) -> list[Action]:
+    def _cut_off(self, now: datetime.timedelta) -> list[calls.Action]:
         """Ends what is left in progress when the drain has timed out."""
         self._cut = len(self._calls)
-        actions: list[Action] = []
+        actions: list[calls.Action] = []
         for token, call in self._calls.items():
             if call.phase is _Phase.WAITING and call.waiting is not None:
                 assert call.servable is not None
@@ -1440,31 +1000,31 @@
                 )
             elif call.phase is _Phase.SENT and not call.cancelled:
                 call.cancelled = True
-                actions.append(CancelAttempt(token, retries.Failure.STOPPED))
+                actions.append(
+                    calls.CancelAttempt(token, retries.Failure.STOPPED)
+                )
         return actions
 
     def _models_wanted(
-        self, event: ModelsWanted, now: datetime.timedelta
-    ) -> list[Action]:
-        if self._names is None:
-            self._names = sorted([*self._models, *self._adapters])
-        event.reply(self._names)
+        self, event: calls.ModelsWanted, now: datetime.timedelta
+    ) -> list[calls.Action]:
+        event.reply(self._table.list_names())
         return []
 
     def _dump_wanted(
-        self, event: DumpWanted, now: datetime.timedelta
-    ) -> list[Action]:
+        self, event: calls.DumpWanted, now: datetime.timedelta
+    ) -> list[calls.Action]:
         event.reply(self._dump(now))
         return []
 
     def _dump(self, now: datetime.timedelta) -> dict[str, Any]:
         return {
             "state": self._drain.state.value,
-            "routes_version": self._routes_version,
-            "catalog_version": self._catalog_version,
-            "log_reachable": self._log_reachable,
-            "models": len(self._models),
-            "adapters": len(self._adapters),
+            "routes_version": self._table.routes_version,
+            "catalog_version": self._table.catalog_version,
+            "log_reachable": self._table.log_reachable,
+            "models": len(self._table.models),
+            "adapters": len(self._table.adapters),
             "calls": [
                 {
                     "request_id": call.request.request_id,
@@ -1489,12 +1049,12 @@
                     "target": replica.target,
                     "state": replica.state.value,
                 }
-                for replicas in self._replicas.values()
+                for replicas in self._table.replicas.values()
                 for replica in replicas
             ],
             "service_targets": {
                 service: [one.target for one in targets]
-                for service, targets in self._service_targets.items()
+                for service, targets in self._table.service_targets.items()
             },
         }
 
@@ -1521,21 +1081,21 @@
     return f"the target failed: {failure.value}"
 
 
-_HANDLERS: dict[type, Callable[..., list[Action]]] = {
-    Arrived: Gateway._arrived,
-    Opened: Gateway._opened,
-    KeyDecided: Gateway._key_decided,
-    AdapterDecided: Gateway._adapter_decided,
-    AttemptEnded: Gateway._attempt_ended,
-    CallEnded: Gateway._call_ended,
-    CallerGone: Gateway._caller_gone,
-    RoutesReceived: Gateway._routes_received,
-    ReportWanted: Gateway._report_wanted,
-    DrainRequested: Gateway._drain_requested,
-    Tick: Gateway._tick,
-    ControlLost: Gateway._control_lost,
-    ModelsWanted: Gateway._models_wanted,
-    DumpWanted: Gateway._dump_wanted,
+_HANDLERS: dict[type, Callable[..., list[calls.Action]]] = {
+    calls.Arrived: Gateway._arrived,
+    calls.Opened: Gateway._opened,
+    calls.KeyDecided: Gateway._key_decided,
+    calls.AdapterDecided: Gateway._adapter_decided,
+    calls.AttemptEnded: Gateway._attempt_ended,
+    calls.CallEnded: Gateway._call_ended,
+    calls.CallerGone: Gateway._caller_gone,
+    calls.RoutesReceived: Gateway._routes_received,
+    calls.ReportWanted: Gateway._report_wanted,
+    calls.DrainRequested: Gateway._drain_requested,
+    calls.Tick: Gateway._tick,
+    calls.ControlLost: Gateway._control_lost,
+    calls.ModelsWanted: Gateway._models_wanted,
+    calls.DumpWanted: Gateway._dump_wanted,
 }
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,6 +13,7 @@
 import pytest
 
 from quetzalgauge import admission
+from quetzalgauge import calls
 from quetzalgauge import gateway
 from quetzalgauge import ids
 from quetzalgauge import messages
@@ -46,7 +47,7 @@
 class Sent:
     """A call in the simulated world."""
 
-    request: gateway.Request
+    request: calls.Request
     arrived: datetime.timedelta
     sends: int = 0  # Attempts that may have run.
     answers: int = 0
@@ -89,8 +90,8 @@
         for number in range(25):
             self.schedule(number * 1.2, ("routes", 0))
         for number in range(1000):
-            self.schedule(number * 0.05, gateway.Tick())
-        self.schedule(drain_at, gateway.DrainRequested())
+            self.schedule(number * 0.05, calls.Tick())
+        self.schedule(drain_at, calls.DrainRequested())
         while self.events:
             self.now, _, event = heapq.heappop(self.events)
             self.handle(event)
@@ -125,9 +126,9 @@
         key = None
         if chance() < 0.2:
             key = ids.KeyHash(self.random.randrange(20))
-        request = gateway.Request(
+        request = calls.Request(
             ids.RequestId(f"r-{token}"),
-            gateway.Kind.PLAIN if plain else gateway.Kind.COMPLETION,
+            calls.Kind.PLAIN if plain else calls.Kind.COMPLETION,
             "desk" if plain else self.random.choice(["m", "n", "loft"]),
             not plain and key is None and chance() < 0.3,
             not plain or chance() < 0.5,
@@ -137,9 +138,9 @@
             f"digest-{token % 3}",
         )
         self.calls[token] = Sent(request, self.now)
-        self.step(gateway.Arrived(token, request))
+        self.step(calls.Arrived(token, request))
         if chance() < 0.1:
-            self.schedule(chance() * 3, gateway.CallerGone(token))
+            self.schedule(chance() * 3, calls.CallerGone(token))
 
     def send_routes(self) -> None:
         chance = self.random.random
@@ -178,13 +179,13 @@
                     )
                 )
         models = {
-            one.model: gateway.Model(
+            one.model: calls.Model(
                 one.model, frozenset([one.version]), one.version, 5
             )
             for one in SERVABLES
         }
         self.step(
-            gateway.RoutesReceived(
+            calls.RoutesReceived(
                 self.version,
                 1,
                 tuple(replicas),
@@ -200,47 +201,47 @@
         token = getattr(action, "token", 0)
         chance = self.random.random
         match action:
-            case gateway.Send():
+            case calls.Send():
                 self.send(action)
-            case gateway.Open():
+            case calls.Open():
                 self.check_target(action.target)
                 if chance() < 0.2:
                     failure = retries.Failure.UNREACHABLE
-                    self.schedule(0.01, gateway.AttemptEnded(token, failure))
+                    self.schedule(0.01, calls.AttemptEnded(token, failure))
                 else:
-                    self.schedule(0.01, gateway.Opened(token))
-            case gateway.ClaimKey():
+                    self.schedule(0.01, calls.Opened(token))
+            case calls.ClaimKey():
                 self.claim(action)
-            case gateway.EnsureAdapter():
+            case calls.EnsureAdapter():
                 self.check_target(action.target)
-                decided = gateway.AdapterDecided(token, chance() < 0.7)
+                decided = calls.AdapterDecided(token, chance() < 0.7)
                 self.schedule(0.01, decided)
-            case gateway.Refuse():
+            case calls.Refuse():
                 self.check_refusal(token, action.refusal)
                 self.end(token)
-            case gateway.Replay() | gateway.Abandon():
+            case calls.Replay() | calls.Abandon():
                 self.end(token)
-            case gateway.CancelAttempt():
+            case calls.CancelAttempt():
                 sent = self.calls[token]
                 failed = ("attempt", token, sent.attempt, action.failure)
                 self.schedule(0.001, failed)
-            case gateway.Stop():
+            case calls.Stop():
                 self.stopped = True
                 if any(one.answers == 0 for one in self.calls.values()):
                     self.violations["drains"] += 1
 
-    def claim(self, action: gateway.ClaimKey) -> None:
-        decision = self.random.choice(list(gateway.KeyDecision))
+    def claim(self, action: calls.ClaimKey) -> None:
+        decision = self.random.choice(list(calls.KeyDecision))
         outcome = None
-        if decision is gateway.KeyDecision.STORED:
-            outcome = gateway.StoredOutcome(200, (), b"", "digest-1")
-        self.schedule(0.02, gateway.KeyDecided(action.token, decision, outcome))
+        if decision is calls.KeyDecision.STORED:
+            outcome = calls.StoredOutcome(200, (), b"", "digest-1")
+        self.schedule(0.02, calls.KeyDecided(action.token, decision, outcome))
 
     def check_target(self, target: str) -> None:
         if target in self.leaving:
             self.violations["leaving"] += 1
 
-    def send(self, action: gateway.Send) -> None:
+    def send(self, action: calls.Send) -> None:
         sent = self.calls[action.token]
         if not action.resume_after:
             # A resumed stream is no new work for its target.
@@ -251,7 +252,7 @@
         failure = None
         if self.random.random() < self.fault_rate:
             failure = self.random.choice(FAILURES)
-            if sent.request.kind is gateway.Kind.PLAIN and (
+            if sent.request.kind is calls.Kind.PLAIN and (
                 failure in retries.DECLINED
             ):
                 failure = retries.Failure.CUT
@@ -272,7 +273,7 @@
         sent = self.calls[token]
         sent.attempt += 1  # A later end of the same attempt is ignored.
         place = getattr(sent, "place", None)
-        if place is not None and sent.request.kind is not gateway.Kind.PLAIN:
+        if place is not None and sent.request.kind is not calls.Kind.PLAIN:
             self.running[place] -= 1
         answered = sent.request.stream and failure in (
             retries.Failure.CUT,
@@ -280,7 +281,7 @@
         )
         if failure is retries.Failure.DRAINING and place is not None:
             self.leaving.setdefault(place[0], self.now)
-        ended = gateway.AttemptEnded(
+        ended = calls.AttemptEnded(
             token, failure, answered, "7" if answered else ""
         )
         if failure is None:
@@ -293,7 +294,7 @@
         sent.ended_at = self.now
         if self.now > max(sent.request.deadline, sent.arrived) + LATE:
             self.violations["in time"] += 1
-        self.schedule(0.001, gateway.CallEnded(token))
+        self.schedule(0.001, calls.CallEnded(token))
 
     def check_refusal(self, token: int, refusal: refusals.Refusal) -> None:
         self.codes[refusal.code.value] += 1
