--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -1,6 +1,7 @@
 """Which slots to reserve, load, unload and move."""
 
 from collections.abc import Iterator
+import dataclasses
 import datetime
 import logging
 import math
@@ -37,12 +38,38 @@
     messages.CacheTier.REMOTE: 0.5e9,
 }
 
+# What room for a model costs on a target, in order of preference.
+_COST_FREE = 0
+_COST_RELEASE = 1
+_COST_UNLOAD = 2
+# The notice of an unload, the next poll and the unload itself.
+EVICTION_TIME = datetime.timedelta(seconds=4)
+# Requests that wait longer, with no load in progress, show that the zone that
+# was chosen does not serve them.
+REGION_PATIENCE = datetime.timedelta(seconds=10)
+
 _PART = "placement"
 _LONG_AGO = datetime.timedelta(days=-1)
 
 _Place = tuple[ids.TargetId, ids.SlotId]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Offer:
+    """A place for one more replica of a model.
+
+    Attributes:
+        is_reserved: Whether the slot is reserved on the target already.
+        rank: The lowest of all zones' offers is taken. All control processes
+            compute it from the same log and the exchanged views.
+    """
+
+    target: ids.TargetId
+    slot: ids.SlotId
+    is_reserved: bool
+    rank: tuple[datetime.timedelta, int, int]
+
+
 class Placement:
     """Decides on the slots of the targets that this process holds."""
 
@@ -63,6 +90,8 @@
         self._retry: dict[_Place, datetime.timedelta] = {}
         self._started: dict[_Place, datetime.timedelta] = {}
         self._evicted: dict[_Place, datetime.timedelta] = {}
+        # Loads that were started with nobody waiting.
+        self._warmed: dict[_Place, datetime.timedelta] = {}
         self._remote_starts: list[datetime.timedelta] = []
         self._sent: dict[
             tuple[ids.InstanceId, demand_module.Servable], datetime.timedelta
@@ -99,6 +128,7 @@
         for place in [p for p in self._used if p[0] == target]:
             if place[1] not in loaded:
                 del self._used[place]
+                self._warmed.pop(place, None)
         for place in [p for p in self._started if p[0] == target]:
             # An accepted load that the status does not show has failed.
             if self._is_status_after_orders(*place):
@@ -193,7 +223,7 @@
         self._reserved_mark = mark
         free = {
             target: ctx.ledger.unreserved_bytes(target)
-            for target in self._usable(ctx.zone, now)
+            for target in self.usable_targets(ctx.zone, now)
         }
         count = 0
         for slot, spec, is_kept in self._wanted_slots(now):
@@ -221,55 +251,114 @@
     ) -> None:
         """Starts what demand for a model needs here, or finds who can."""
         ctx = self._ctx
-        zone = self._zone_for(servable.model)
         spec = plan_module.spec(ctx.catalog, servable.model, servable.version)
-        if zone is None or spec is None:
+        if spec is None:
             return
-        most = plan_module.max_replicas(ctx.catalog, servable.model, zone)
         requests = self._demands.requests(servable)
         needed = max(1, math.ceil(requests / views_module.MAX_RUNNING))
-        loaded = self._count_loaded(servable, zone)
-        if loaded >= most:
+        offers = []
+        loaded = 0
+        for zone in self._zones_for(servable, now):
+            count = self._count_loaded(servable, zone, now)
+            loaded += count
+            offer = self._offer(servable, spec, zone, count, now)
+            if offer is not None:
+                offers.append(offer)
+        if not offers:
             return
-        slots = [
-            ids.SlotId(servable.model, zone, index) for index in range(most)
-        ]
-        place = self._reserved_place(slots, servable, now)
-        if place is None:
-            place_target = self._unreserved_place(slots, spec, now)
-            if place_target is None:
-                return
-            target, slot = place_target
-        else:
-            target, slot = place
-        if not ctx.holds(target):
+        best = min(offers, key=lambda offer: offer.rank)
+        if not ctx.holds(best.target):
             # Also without need for a further replica: only the holder of the
             # next slot sees the demand of all entries together.
-            holder = ctx.ledger.targets[target].holder
+            holder = ctx.ledger.targets[best.target].holder
             if holder is not None:
                 forwards.setdefault(holder.instance, []).append(servable)
         elif loaded >= needed:
             return
-        elif place is not None:
-            self._load(target, slot, now)
-        elif slot not in ctx.ledger.slots:
-            self._place(slot, spec, now)
+        elif best.is_reserved:
+            self._load(best.target, best.slot, now)
+        elif best.slot not in ctx.ledger.slots:
+            self._place(best.slot, spec, now)
+
+    def _zones_for(
+        self, servable: demand_module.Servable, now: datetime.timedelta
+    ) -> list[ids.AvailabilityZone]:
+        """Returns the zones that may load a replica for waiting requests.
+
+        One replica anywhere in the region serves a burst, since the way
+        between zones takes about a millisecond and a load takes seconds.
+        """
+        ctx = self._ctx
+        zones = [
+            zone
+            for zone in plan_module.zones(ctx.catalog, servable.model)
+            if ctx.membership.engines(zone)
+        ]
+        if ctx.zone in zones and not self._helps_elsewhere(servable, now):
+            return [ctx.zone]
+        return zones
+
+    def _helps_elsewhere(
+        self, servable: demand_module.Servable, now: datetime.timedelta
+    ) -> bool:
+        """Whether another zone can be expected to serve waiting requests.
+
+        A zone that is cut off, or that gets no answer from the chosen zone,
+        serves itself.
+        """
+        if not self._ctx.reading.is_current(now):
+            return False
+        if self._demands.oldest_own_wait(servable) < REGION_PATIENCE:
+            return True
+        return any(
+            replica.version == servable.version
+            and replica.state == ttypes.ReplicaState.LOADING
+            and self._is_usable(replica.target, now)
+            for replica in self._views.replicas(servable.model)
+        )
 
-    def _zone_for(self, model: ids.ModelName) -> ids.AvailabilityZone | None:
-        """Returns the zone that serves a model for this one's entries."""
+    def _offer(
+        self,
+        servable: demand_module.Servable,
+        spec: plan_module.Spec,
+        zone: ids.AvailabilityZone,
+        loaded: int,
+        now: datetime.timedelta,
+    ) -> _Offer | None:
+        """Returns the best place in a zone for one more replica."""
         ctx = self._ctx
-        zones = plan_module.zones(ctx.catalog, model)
-        if ctx.zone in zones:
-            return ctx.zone
-        if not zones:
+        most = plan_module.max_replicas(ctx.catalog, servable.model, zone)
+        if loaded >= most:
             return None
-        return max(zones, key=lambda zone: context.weight(model, zone))
+        slots = [
+            ids.SlotId(servable.model, zone, index) for index in range(most)
+        ]
+        place = self._reserved_place(slots, servable, now)
+        is_reserved_place = place is not None
+        if place is None:
+            place = self._unreserved_place(slots, spec, now)
+        if place is None:
+            return None
+        target, slot = place
+        cost = 0
+        if not is_reserved_place:
+            cost = self._cost(target, slot, spec) or 0
+        rank = (
+            self._expected_load(target, slot, spec, cost),
+            cost,
+            context.weight(servable.model, zone),
+        )
+        return _Offer(target, slot, is_reserved_place, rank)
 
     def _count_loaded(
-        self, servable: demand_module.Servable, zone: ids.AvailabilityZone
+        self,
+        servable: demand_module.Servable,
+        zone: ids.AvailabilityZone,
+        now: datetime.timedelta,
     ) -> int:
         """Counts replicas that are ready or will be, and may get requests."""
         membership = self._ctx.membership
+        is_own = zone == self._ctx.zone
         slots = {
             replica.slot.index
             for replica in self._views.replicas(servable.model, zone)
@@ -277,6 +366,7 @@
             and replica.state != ttypes.ReplicaState.UNLOADING
             and not membership.is_leaving(replica.target)
             and not membership.is_absent(replica.target)
+            and (is_own or self._is_usable(replica.target, now))
         }
         slots |= {
             slot.index
@@ -355,9 +445,10 @@
             return False
         return self._leases.live_holder(target, now) is not None
 
-    def _usable(
+    def usable_targets(
         self, zone: ids.AvailabilityZone, now: datetime.timedelta
     ) -> list[ids.TargetId]:
+        """Returns the engines of a zone that can take a load now."""
         return [
             target
             for target in self._ctx.membership.engines(zone)
@@ -469,15 +560,18 @@
         ]
         if len(self._remote_starts) >= share:
             return False
+        # A load that nobody waits for must not hold back one that is needed.
         loading = sum(
             replica.state == ttypes.ReplicaState.LOADING
+            and (target, views_module.slot_of(replica)) not in self._warmed
             and not self._views.is_cached(
                 target, replica.slot.model, replica.version
             )
             for target in ctx.membership.engines(ctx.zone)
             for replica in self._replicas_on(target)
         )
-        return loading + len(self._started) < share
+        started = sum(place not in self._warmed for place in self._started)
+        return loading + started < share
 
     def _replicas_on(self, target: ids.TargetId) -> list:
         state = self._views.state(target)
@@ -581,19 +675,18 @@
         spec: plan_module.Spec,
         now: datetime.timedelta,
     ) -> ids.TargetId | None:
-        """Returns the best target of a zone, cached checkpoint first.
+        """Returns the target of a zone that is expected to be ready first.
 
-        A target whose other reservations have to move counts after free ones,
-        and one that has to unload an idle model first counts last.
+        Among equal ones, free memory goes before memory that other
+        reservations have to leave.
         """
         best = None
-        for target in self._usable(slot.availability_zone, now):
+        for target in self.usable_targets(slot.availability_zone, now):
             cost = self._cost(target, slot, spec)
             if cost is None:
                 continue
             key = (
-                cost == 2,
-                not self._views.is_cached(target, slot.model, spec.version),
+                self._expected_load(target, slot, spec, cost),
                 cost,
                 -self._ctx.ledger.unreserved_bytes(target),
                 context.weight(str(slot), target),
@@ -602,16 +695,33 @@
                 best = (key, target)
         return None if best is None else best[1]
 
+    def _expected_load(
+        self,
+        target: ids.TargetId,
+        slot: ids.SlotId,
+        spec: plan_module.Spec,
+        cost: int,
+    ) -> datetime.timedelta:
+        """Returns about how long a load takes, with the room it needs."""
+        tier = messages.CacheTier.REMOTE
+        if self._views.is_cached(target, slot.model, spec.version):
+            tier = messages.CacheTier.DISK
+        seconds = spec.memory_bytes / _TIER_RATES[tier]
+        expected = datetime.timedelta(seconds=seconds)
+        if cost == _COST_UNLOAD:
+            expected += EVICTION_TIME
+        return expected
+
     def _cost(
         self, target: ids.TargetId, slot: ids.SlotId, spec: plan_module.Spec
     ) -> int | None:
-        """Returns 0 for free memory, 1 for a release, 2 for an unload."""
+        """Returns what room for a model costs, None if it can't be made."""
         ledger = self._ctx.ledger
         if self._has_model(target, slot.model):
             return None
         free = ledger.unreserved_bytes(target)
         if free >= spec.memory_bytes:
-            return 0
+            return _COST_FREE
         if ledger.targets[target].accelerator_memory_bytes < spec.memory_bytes:
             return None
         if not ledger.older_numbers_closed(target):
@@ -621,7 +731,9 @@
             for reservation in ledger.reservations(target).values()
             if self._is_spare(target, reservation)
         )
-        return 1 if free + spare >= spec.memory_bytes else 2
+        if free + spare >= spec.memory_bytes:
+            return _COST_RELEASE
+        return _COST_UNLOAD
 
     def _has_model(self, target: ids.TargetId, model: ids.ModelName) -> bool:
         # A second replica of a model on one target would be no second replica.
@@ -657,8 +769,18 @@
         if not ctx.reading.is_current(now):
             return
         target = self._best_target(slot, spec, now)
-        if target is None or not ctx.holds(target):
-            return
+        if target is not None and ctx.holds(target):
+            self.place_on(target, slot, spec, now)
+
+    def place_on(
+        self,
+        target: ids.TargetId,
+        slot: ids.SlotId,
+        spec: plan_module.Spec,
+        now: datetime.timedelta,
+    ) -> None:
+        """Reserves a slot on a held target, making room if needed."""
+        ctx = self._ctx
         if not self._leases.can_order(target):
             return
         free = ctx.ledger.unreserved_bytes(target) - self._proposed_bytes(
@@ -669,6 +791,27 @@
         if free >= spec.memory_bytes:
             self._reserve(target, slot, spec)
 
+    def has_spare_room(
+        self, target: ids.TargetId, slot: ids.SlotId, spec: plan_module.Spec
+    ) -> bool:
+        """Whether a slot fits on a target without unloading anything."""
+        cost = self._cost(target, slot, spec)
+        return cost is not None and cost < _COST_UNLOAD
+
+    def warm(
+        self,
+        target: ids.TargetId,
+        slot: ids.SlotId,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Loads a reserved slot that nobody waits for; True if ordered."""
+        self._load(target, slot, now)
+        place = (target, slot)
+        if self._started.get(place) != now:
+            return False
+        self._warmed[place] = now
+        return True
+
     def _proposed_bytes(self, target: ids.TargetId) -> int:
         return sum(
             body.memory_bytes
@@ -825,6 +968,8 @@
         if model.running or model.waiting:
             return False
         idle = now - self._last_used(target, model, now)
+        if self._is_only_warmed(target, model):
+            return idle > MIN_IDLE
         tier = status.cached.get(
             (slot.model, model.version), messages.CacheTier.REMOTE
         )
@@ -834,6 +979,17 @@
         )
         return idle > max(MIN_IDLE, limit)
 
+    def _is_only_warmed(
+        self, target: ids.TargetId, model: messages.ModelStatus
+    ) -> bool:
+        """Whether a model was loaded for the cache and not wanted since."""
+        warmed = self._warmed.get((target, model.slot))
+        if warmed is None:
+            return False
+        servable = demand_module.Servable(model.model, model.version)
+        wanted = self._demands.last_wanted(servable)
+        return wanted is None or wanted < warmed
+
     def _last_used(
         self,
         target: ids.TargetId,
