Do not suspect a target for a stale idle connection

Cause: a target that closes an idle connection at the moment it is used again was suspect for 2 s, and a plain service with one target refused a repeatable call whose idle connection had gone silent. Change: a cut on a reused connection does not mark the target; every retry uses a new connection; a retry goes to a suspect target when there is no other. After: tests of both cases, of a late answer on an abandoned connection and of a surplus answer on an idle one.

--- a/src/quetzalgauge/callers.py
+++ b/src/quetzalgauge/callers.py
@@ -505,6 +505,7 @@
         self._opened: targets.Connection | None = None
         self._opened_address = ""
         self._sends = 0
+        self._reused = False
         self._arrived = parts.now()
 
     def run(self) -> None:
@@ -593,6 +594,7 @@
         if self._sends > 1:
             self._parts.meters.count_retry()
         attempt = self._call.attempt
+        self._reused = False
         connection = None
         try:
             connection = self._take_connection(action)
@@ -613,6 +615,7 @@
                 failure,
                 self._writer.is_started,
                 self._events.last_event,
+                self._reused,
             )
         )
 
@@ -622,9 +625,13 @@
             if self._opened_address == action.address and opened.is_connected:
                 return opened
             opened.close()
-        return self._parts.client.get_connection(
-            action.address, self._deadline, fresh=action.fresh
-        )
+        client = self._parts.client
+        if not action.fresh:
+            idle = client.take_idle(action.address)
+            if idle is not None:
+                self._reused = True
+                return idle
+        return client.connect(action.address, self._deadline)
 
     def _exchange(
         self,
--- a/src/quetzalgauge/calls.py
+++ b/src/quetzalgauge/calls.py
@@ -136,12 +136,14 @@
         failure: None after a whole answer.
         answered: Whether the caller has received a byte of the answer.
         last_event: Last event id passed on, empty if none.
+        reused: The connection had served another request before.
     """
 
     token: int
     failure: retries.Failure | None
     answered: bool = False
     last_event: str = ""
+    reused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/quetzalgauge/gateway.py
+++ b/src/quetzalgauge/gateway.py
@@ -428,11 +428,19 @@
         self, token: int, call: _Call, now: datetime.timedelta
     ) -> list[calls.Action]:
         service = ids.ServiceName(call.request.name)
-        candidates = [
+        known = [
             routing.Candidate(one.target, one.address, one.availability_zone)
             for one in self._table.service_targets.get(service, ())
-            if not self._marks.excludes(one.target)
+            if one.target not in self._marks.leaving
+        ]
+        candidates = [
+            one for one in known if one.target not in self._marks.suspect
         ]
+        if not candidates and call.failures[-1:] != [
+            retries.Failure.UNREACHABLE
+        ]:
+            # An open connection may be silent while a new one works.
+            candidates = known if call.failures else []
         candidate = self._route(candidates, call.tried, self._in_flight, None)
         if candidate is None:
             if call.failures:
@@ -499,7 +507,7 @@
             token,
             call.target.target,
             call.target.address,
-            not call.request.repeatable,
+            not call.request.repeatable or bool(call.failures),
             self._name_for(call.servable, call.target.target),
             call.adapter,
             resume_after,
@@ -634,6 +642,11 @@
             return actions
         if event.answered:
             return self._failed_after_answer(event, call, now)
+        # A target may close an idle connection at the moment it is used
+        # again, which says nothing about the target.
+        is_stale = event.reused and event.failure is retries.Failure.CUT
+        if not is_stale:
+            self._mark(call, event.failure, now)
         return self._failed(event.token, call, event.failure, now)
 
     def _failed_after_answer(
@@ -677,7 +690,6 @@
         now: datetime.timedelta,
     ) -> list[calls.Action]:
         call.failures.append(failure)
-        self._mark(call, failure, now)
         if call.caller_gone or failure is retries.Failure.ABANDONED:
             actions = self._leave_target(call, now)
             self._finish(call)
--- a/src/quetzalgauge/targets.py
+++ b/src/quetzalgauge/targets.py
@@ -197,12 +197,9 @@
             raise AttemptError(retries.Failure.UNREACHABLE) from error
         return connection
 
-    def get_connection(
-        self, address: str, deadline: float, *, fresh: bool
-    ) -> Connection:
-        """Returns an idle connection, or a new one."""
-        idle = None if fresh else self._pool.take(address)
-        return idle or self.connect(address, deadline)
+    def take_idle(self, address: str) -> Connection | None:
+        """Returns an idle connection, or None."""
+        return self._pool.take(address)
 
     def start(
         self, connection: Connection, outgoing: Outgoing, attempt: Attempt
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -151,6 +151,51 @@
     assert len(target.received) == 1
 
 
+def test_late_answer_does_not_reach_another_request(world):
+    """Guards against crossed answers on an abandoned connection."""
+    entry, _, target, _ = world
+
+    def late(handle, received):
+        time.sleep(1.2)
+        return entry_fakes.answer(body=b'"late"')(handle, received)
+
+    target.scripts = [late]
+    target.default = entry_fakes.answer(body=b'"own"')
+    # The second attempt of the first request comes after its late answer.
+    assert entry.complete("single").body == b'"own"'
+    assert entry.complete("single").body == b'"own"'
+    first, *others = (one.connection for one in target.received)
+    assert first not in others
+
+
+def test_surplus_answer_does_not_reach_the_next_request(world):
+    """Guards against an answer that waits on an idle connection."""
+    entry, _, target, _ = world
+
+    def twice(handle, received):
+        entry_fakes.answer(body=b'"own"')(handle, received)
+        return entry_fakes.answer(body=b'"surplus"')(handle, received)
+
+    target.scripts = [twice]
+    target.default = entry_fakes.answer(body=b'"next"')
+    assert entry.complete("single").body == b'"own"'
+    assert entry.complete("single").body == b'"next"'
+
+
+@pytest.mark.parametrize("fault", ["cut", "silent"])
+def test_idle_connection_that_failed_is_replaced(world, fault):
+    """Guards against a failure although new connections work."""
+    entry, _, target, _ = world
+    script = entry_fakes.cut if fault == "cut" else target.silent
+    target.scripts = [entry_fakes.answer(), script]
+    assert entry.call("GET", "/services/one/a").status == 200
+    assert entry.call("GET", "/services/one/b").status == 200
+    connections = [one.connection for one in target.received]
+    assert connections[0] == connections[1] != connections[2]
+    is_suspect = entry.dump()["suspect"] == ["lm-1"]
+    assert is_suspect == (fault == "silent")
+
+
 def test_refused_connection_is_not_run(world):
     """Guards against `unknown` for a call that cannot have run."""
     entry, *_ = world
