--- a/src/quetzalgauge/streams.py
+++ b/src/quetzalgauge/streams.py
@@ -2,6 +2,8 @@
 
 import re
 
+from quetzalgauge import exceptions
+
 # A target that never ends an event must not fill the memory.
 MAX_EVENT_BYTES = 1_048_576
 
@@ -10,7 +12,7 @@
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
-class StreamError(ValueError):
+class StreamError(exceptions.QuetzalgaugeError):
     """The target's stream breaks the protocol."""
 
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -77,12 +77,16 @@
     entry, _ = started
     targets[0].default = entry_fakes.answer(201, b"made", media="text/plain")
     reply = entry.call(
-        "POST", "/services/one/a%20b?x=1", b"body", {"X-Other": "y"}
+        "POST",
+        "/services/one/a%20b?x=1",
+        b"body",
+        {"X-Other": "y", "X-Hop": "z", "Connection": "X-Hop, close"},
     )
     assert (reply.status, reply.body) == (201, b"made")
     (received,) = targets[0].received
     assert (received.method, received.path) == ("POST", "/a%20b?x=1")
     assert (received.body, received.headers["x-other"]) == (b"body", "y")
+    assert "x-hop" not in received.headers
 
 
 @pytest.mark.parametrize(
