Predict all waits of a queue in one pass

Cause: each prediction sorted the replicas again; 200 waiting requests and 20 replicas took 6.7 ms, twenty times a second in the task that owns the core. Change: make_predictor prepares the steps of capacity once.

--- a/src/quetzalgauge/admission.py
+++ b/src/quetzalgauge/admission.py
@@ -1,6 +1,7 @@
 """Waiting queues, predicted waits and early refusals."""
 
 import bisect
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -80,46 +81,69 @@
         return found
 
 
-def predict_wait(
-    position: int,
-    loads: Iterable[ReplicaLoad],
-    service_time: datetime.timedelta,
-) -> datetime.timedelta | None:
-    """Returns how long a waiting request waits for a place on a replica.
+def make_predictor(
+    loads: Iterable[ReplicaLoad], service_time: datetime.timedelta
+) -> Callable[[int], datetime.timedelta | None]:
+    """Returns a function that predicts waits for a place on a replica.
 
     A replica takes requests at once while it has free slots and then at the
-    rate of slots divided by service time.
+    rate of slots divided by service time. The function takes the number of
+    requests that go first and returns None if there is no replica.
 
     Args:
-        position: Number of requests that go first.
         loads: The replicas that are ready or loading.
         service_time: Mean time that a request holds a slot; zero if nothing
             was measured, which predicts no wait on a ready replica.
     """
-    wanted = position + 1.0
-    served = 0.0
-    rate = 0.0
-    at = 0.0
-    seconds = service_time.total_seconds()
     usable = sorted(
         (load for load in loads if load.slots > 0),
         key=lambda load: load.ready_in,
     )
     if not usable:
-        return None
+        return lambda position: None
+    seconds = service_time.total_seconds()
+    first = max(_ZERO, usable[0].ready_in)
+    if seconds <= 0:
+        return lambda position: first
+    steps = _make_steps(usable, seconds)
+
+    def predict(position: int) -> datetime.timedelta:
+        wanted = position + 1.0
+        at = 0.0
+        for index, step in enumerate(steps):
+            at = step.start
+            if wanted > step.served:
+                at += (wanted - step.served) / step.rate
+            if index + 1 == len(steps) or at <= steps[index + 1].start:
+                break
+        return datetime.timedelta(seconds=at)
+
+    return predict
+
+
+@dataclasses.dataclass(slots=True)
+class _Step:
+    """From `start` on, `served` requests and `rate` more each second."""
+
+    start: float
+    served: float
+    rate: float
+
+
+def _make_steps(usable: Sequence[ReplicaLoad], seconds: float) -> list[_Step]:
+    steps: list[_Step] = []
     for load in usable:
         start = max(0.0, load.ready_in.total_seconds())
-        if rate > 0 and served + rate * (start - at) >= wanted:
-            break
-        served += rate * (start - at)
-        at = start
-        if seconds <= 0:
-            return datetime.timedelta(seconds=at)
-        served += max(0, load.slots - load.busy)
-        rate += load.slots / seconds
-        if served >= wanted:
-            return datetime.timedelta(seconds=at)
-    return datetime.timedelta(seconds=at + (wanted - served) / rate)
+        if not steps:
+            steps.append(_Step(start, 0.0, 0.0))
+        last = steps[-1]
+        if start > last.start:
+            served = last.served + last.rate * (start - last.start)
+            last = _Step(start, served, last.rate)
+            steps.append(last)
+        last.served += max(0, load.slots - load.busy)
+        last.rate += load.slots / seconds
+    return steps
 
 
 def find_hopeless(
@@ -135,8 +159,9 @@
     """
     hopeless = []
     position = 0
+    predict = make_predictor(loads, service_time)
     for waiting in queue:
-        wait = predict_wait(position, loads, service_time)
+        wait = predict(position)
         # Without any replica nothing is predicted, and only the deadline
         # itself ends the wait.
         if now + (wait or _ZERO) >= waiting.deadline:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -68,7 +68,7 @@
 def test_predicted_wait_equals_a_search_over_time(position, loads, service):
     """Guards against refusals that come too early or too late."""
     wanted = naive_wait(position, loads, service)
-    found = admission.predict_wait(position, loads, service)
+    found = admission.make_predictor(loads, service)(position)
     if wanted is None:
         assert found is None
     else:
@@ -102,7 +102,7 @@
     removed = []
     while True:
         for position, waiting in enumerate(left):
-            wait = admission.predict_wait(position, loads, service)
+            wait = admission.make_predictor(loads, service)(position)
             start = now + (wait or datetime.timedelta())
             if start >= waiting.deadline:
                 removed.append(left.pop(position))
