--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -70,7 +70,11 @@
         return future
 
     def book(self, instance, deadline_ms=20_000, **headers):
-        booking = uuid.uuid4().hex
+        return self.book_again(
+            instance, uuid.uuid4().hex, deadline_ms, **headers
+        )
+
+    def book_again(self, instance, booking, deadline_ms=20_000, **headers):
         future = self.executor.submit(
             loaddriver.call_service,
             self.pool,
@@ -359,3 +363,115 @@
     callers.stream("qg-2", MODELS[0], deadline_ms=15_000).result(60)
     assert deployment.counts(engine)["requests"] == before
     callers.check([ZONE])
+
+
+def test_lost_acknowledgements_during_a_cold_burst(deploy):
+    """An append or order without an answer must have one effect."""
+    deployment, callers = deploy(instances=2, engines_per_zone=2)
+    lost = {"lost_acknowledgements": 2, "method": "POST"}
+    deployment.set_faults(deployment.log, **lost)
+    for engine in deployment.engines.values():
+        deployment.set_faults(engine, path_prefix="/orders", **lost)
+    cold = [
+        callers.stream(name, model)
+        for model in MODELS
+        for name in deployment.entries
+    ]
+    keyed = [
+        callers.book(name, **{"Idempotency-Key": f"key-{name}"})
+        for name in deployment.entries
+    ]
+    assert [future.result(60).kind for future in cold] == ["whole"] * 6
+    for future in keyed:
+        result = future.result(60)
+        assert (result.kind, result.run) in (
+            ("whole", ""),
+            ("refused", "not_run"),
+        )
+    assert [total_loads(deployment, model) for model in MODELS] == [1, 1, 1]
+    left = [
+        deployment.get(process, "/standin/faults")["lost_acknowledgements"]
+        for process in (deployment.log, *deployment.engines.values())
+    ]
+    assert left[0] == 0
+    assert sum(left[1:]) < 4
+    callers.check([ZONE])
+
+
+def test_model_server_killed_with_streams_in_progress(deploy):
+    """Streams end with an error event; the model is loaded elsewhere."""
+    deployment, callers = deploy(instances=2, engines_per_zone=2)
+    assert callers.stream("qg-1", MODELS[0]).result(60).kind == "whole"
+    (killed,) = [
+        name
+        for name, engine in deployment.engines.items()
+        if deployment.counts(engine)["loads"].get(f"{MODELS[0]}@v1")
+    ]
+    streams = [callers.stream("qg-1", MODELS[0], 2000) for _ in range(4)]
+    time.sleep(0.5)
+    deployment.engines[killed].kill()
+    for future in streams:
+        result = future.result(60)
+        assert (result.kind, result.code) == ("refused", "stream_cut")
+    deployment.unlist(killed)
+    again = callers.stream("qg-2", MODELS[0], deadline_ms=60_000)
+    assert again.result(70).kind == "whole"
+    callers.check([ZONE])
+
+
+def test_entry_killed_with_a_keyed_booking_in_progress(deploy):
+    """A second try elsewhere must not run the booking again."""
+    deployment, callers = deploy(
+        instances=2, engines_per_zone=1, service_values={"work_time": 2.0}
+    )
+    key = {"Idempotency-Key": "arrival-1"}
+    callers.book("qg-1", **key)
+    (booking, first), *_ = callers.bookings.items()
+    loopback.wait_until(
+        lambda: sum(
+            runs(deployment, name).get(booking, 0)
+            for name in deployment.services
+        ),
+        "the booking runs",
+    )
+    deployment.entries["qg-1"].kill()
+    # The connection to its caller breaks; the caller tries again elsewhere.
+    assert first.result(30).kind == "broken"
+    del callers.bookings[booking]
+    second = callers.book_again("qg-2", booking, **key).result(30)
+    assert (second.code, second.run) == ("outcome_unknown", "unknown")
+    callers.check([ZONE])
+
+
+def test_conflicting_tickets_at_two_instances(deploy):
+    """Of two tickets with one number, exactly one may be accepted."""
+    deployment, callers = deploy(instances=2, engines_per_zone=1)
+    tickets = {
+        name: make_ticket([ZONE], number=2, models=(f"model-of-{name}",))
+        for name in deployment.controls
+    }
+
+    def submit(name):
+        address = deployment.controls[name].addresses["operator_listen"]
+        url = f"http://{address}/tickets"
+        return callers.pool.request("POST", url, json=tickets[name])
+
+    answers = {name: callers.executor.submit(submit, name) for name in tickets}
+    verdicts = {
+        name: future.result(30).json()["verdict"]
+        for name, future in answers.items()
+    }
+    assert sorted(verdicts.values()) == ["accepted", "conflict"]
+    (winner,) = [n for n, verdict in verdicts.items() if verdict == "accepted"]
+    model = f"model-of-{winner}"
+    for name in deployment.entries:
+        loopback.wait_until(
+            lambda name=name: model in model_names(callers, name), "in force"
+        )
+        assert len(model_names(callers, name)) == len(MODELS) + 1
+
+
+def model_names(callers, instance):
+    url = f"http://{callers.address(instance)}/v1/models"
+    rows = callers.pool.request("GET", url).json()["data"]
+    return {row["id"] for row in rows}
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -25,7 +25,7 @@
 FIRST_TOKEN_SECONDS = 15
 MIB = 1024 * 1024
 COLD_MODEL = "palomar-report"
-COLD_ZONE = "uy-south-a"
+ZONES = ("uy-south-a", "uy-south-b", "uy-south-c")
 TICKET = {
     "ticket": 1,
     "models": {
@@ -34,7 +34,7 @@
                 "v1": {"checkpoint": "palomar-report-v1", "memory_mib": 13000}
             },
             "default_version": "v1",
-            "availability_zones": {COLD_ZONE: {"max_replicas": 1}},
+            "availability_zones": {zone: {"max_replicas": 1} for zone in ZONES},
         },
         "palomar-label": {
             "versions": {
@@ -259,7 +259,7 @@
     """Runs the demo and returns its exit status."""
     with tempfile.TemporaryDirectory(prefix="quetzalgauge-") as name:
         folder = pathlib.Path(name)
-        deployment = loopback.Deployment(folder)
+        deployment = loopback.Deployment(folder, zones=ZONES)
         demo = Demo(deployment)
         try:
             deployment.start()
