--- a/src/quetzalgauge/settings.py
+++ b/src/quetzalgauge/settings.py
@@ -90,8 +90,9 @@
     port: Port = _described("Port; 0 takes any free port.")
 
     def __str__(self) -> str:
-        """Returns HOST:PORT."""
-        return f"{self.host}:{self.port}"
+        """Returns HOST:PORT, with brackets around an IPv6 number."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
 
 
 class Tls(Section):
@@ -198,6 +199,11 @@
             default=10.0,
         )
     )
+    warm_checkpoints: bool = _described(
+        "Load each model once while the region is quiet, so that a target has"
+        " its checkpoint cached.",
+        default=True,
+    )
     loads_at_once: Count = _described(
         "Loads from the weight store at once, in the whole region.", default=4
     )
