--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -2,9 +2,11 @@
 
 import json
 
+import certificates
 import pytest
 
 from quetzalgauge import ctl
+from quetzalgauge import operators
 from quetzalgauge import settings
 from quetzalgauge import standin_http
 
@@ -167,3 +169,24 @@
 def test_help_names_exit_statuses_and_examples(run):
     assert "3 refused" in run("--help")[1]
     assert "For example" in run("submit", "--help")[1]
+
+
+def test_operator_listener_with_tls(run, tmp_path):
+    """Guards against an operator that is shut out, or let in unknown."""
+    tls = certificates.make_tls(tmp_path)
+    handlers = operators.Handlers(
+        is_healthy=lambda: True,
+        is_ready=lambda: True,
+        metrics=lambda: b"",
+        dump=lambda: {"a": 1},
+        drain=lambda: None,
+    )
+    server = operators.OperatorServer(LOOPBACK, tls, handlers)
+    server.start()
+    target = ("dump", "--json", "--control", server.address)
+    authority = ("--authority", str(tls.authority))
+    own = ("--certificate", str(tls.certificate), "--key", str(tls.key))
+    code, text, _ = run(*target, *authority, *own)
+    assert (code, json.loads(text)) == (0, {"a": 1})
+    assert run(*target, *authority)[0] in (1, 4)
+    server.stop()
