Keep the ports of a stopped process free for its restart

Cause: test_kill_of_each_control_process failed once in a full run with 'Address already in use': while the control process was down, the kernel gave its port to an outgoing connection of another test. Ports outside the range of outgoing connections were ruled out, since two test runs could then choose the same one. Now the stopped process's ports stay bound by a socket that does not listen.

--- a/src/quetzalgauge/loopback.py
+++ b/src/quetzalgauge/loopback.py
@@ -15,6 +15,7 @@
 import queue
 import re
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -63,6 +64,7 @@
         self._error_file = folder / f"{name}.err"
         self._child: subprocess.Popen[str] | None = None
         self._lines: queue.Queue[str | None] = queue.Queue()
+        self._held: list[socket.socket] = []
 
     @property
     def address(self) -> str:
@@ -103,6 +105,7 @@
             target=self._read, args=(self._child, self._lines), daemon=True
         ).start()
         self._wait_until_ready()
+        self._release_ports()
 
     def stop(self) -> int:
         """Ends the process with SIGTERM and returns its exit status."""
@@ -123,11 +126,13 @@
         """Waits for the end and returns the exit status."""
         assert self._child is not None
         try:
-            return self._child.wait(seconds)
+            status = self._child.wait(seconds)
         except subprocess.TimeoutExpired as error:
             raise LoopbackError(
                 f"{self.name} did not end within {seconds} s"
             ) from error
+        self._hold_ports()
+        return status
 
     def is_running(self) -> bool:
         """Whether the process was started and has not ended."""
@@ -146,6 +151,27 @@
             self._child.wait()
             assert self._child.stdout is not None
             self._child.stdout.close()
+        self._release_ports()
+
+    def _hold_ports(self) -> None:
+        """Keeps the kernel from giving the ports to outgoing connections.
+
+        A socket that is bound but does not listen is in nobody's way, since
+        all listeners but that for operators set SO_REUSEADDR.
+        """
+        for key in self.addresses:
+            if key == "operator_listen":
+                continue
+            held = socket.socket()
+            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._held.append(held)
+            with contextlib.suppress(OSError):
+                address = self.values[key]
+                held.bind((address["host"], address["port"]))
+
+    def _release_ports(self) -> None:
+        while self._held:
+            self._held.pop().close()
 
     @staticmethod
     def _read(
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -1,5 +1,7 @@
 """The checks used on real processes must find each violation."""
 
+import socket
+
 import pytest
 
 from quetzalgauge import loaddriver
@@ -77,3 +79,30 @@
         assert found == []
     else:
         assert expected in found[0]
+
+
+def test_restarted_process_gets_its_port_back(tmp_path):
+    """Another process may take a free port between stop and start."""
+    values = {"listen": loopback.make_address()}
+    process = loopback.Process(tmp_path, "log", ("standin", "log"), values)
+    process.start()
+    try:
+        address = process.address
+        process.kill()
+        host, _, port = address.rpartition(":")
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind((host, int(port)))
+        process.start()
+        assert process.address == address
+        assert process.stop() == 0
+    finally:
+        process.end()
+
+
+def test_process_with_wrong_settings_is_reported(tmp_path):
+    values = {"listen": loopback.make_address(), "kept_records": 0}
+    process = loopback.Process(tmp_path, "log", ("standin", "log"), values)
+    with pytest.raises(loopback.LoopbackError, match="kept_records"):
+        process.start()
+    assert process.wait() == 2
+    process.end()
