--- a/src/quetzalgauge/callers.py
+++ b/src/quetzalgauge/callers.py
@@ -8,15 +8,12 @@
 from collections.abc import Sequence
 import contextlib
 import dataclasses
-import datetime
 import errno
-import hashlib
 import http.client
 import itertools
 import json
 import logging
 import queue
-import re
 import select
 import socket
 from typing import Any
@@ -24,13 +21,14 @@
 
 import cheroot.server
 
+from quetzalgauge import calls
 from quetzalgauge import clock
 from quetzalgauge import controllink
-from quetzalgauge import gateway
 from quetzalgauge import ids
 from quetzalgauge import logs
 from quetzalgauge import metrics
 from quetzalgauge import operators
+from quetzalgauge import parsing
 from quetzalgauge import refusals
 from quetzalgauge import retries
 from quetzalgauge import settings
@@ -42,72 +40,13 @@
 # Longest pause of a caller while it sends a request or takes an answer.
 CALLER_TIMEOUT_SECONDS = 10
 KEEP_ALIVE_CONNECTIONS = 2000
-MAX_DISCARDED_BYTES = 8 * 1_048_576
 
-_COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
 _MODELS_PATH = "/v1/models"
-_SERVICES_PREFIX = "/services/"
-_REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-# Headers for the system itself, which targets do not get from callers.
-_OWN_HEADERS = frozenset(
-    {"idempotency-key", "last-event-id", "x-deadline-ms", "x-request-id"}
-)
-_TOKEN = re.compile(r"[!-~]{1,128}\Z")
-_KEY = re.compile(r"[ -~]{1,255}\Z")
-_METHOD = re.compile(r"[A-Z]{1,20}\Z")
-_PATH = re.compile(rb"/[!-~]*\Z")
-_NAME = re.compile(r"[A-Za-z0-9._-]{1,100}\Z")
-_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
-_HEADER_VALUE = re.compile(r"[\t -~\x80-\xff]*\Z")
 _CALLER_GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 _log = logs.make_logger("callers")
 
 
-class BadRequestError(ValueError):
-    """A caller's request is not valid.
-
-    Attributes:
-        code: Code of the refusal.
-    """
-
-    def __init__(
-        self,
-        message: str,
-        code: refusals.Code = refusals.Code.BAD_REQUEST,
-    ) -> None:
-        super().__init__(message)
-        self.code = code
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Parsed:
-    """A request for the core, and what a target gets."""
-
-    request: gateway.Request
-    method: str
-    path: str
-    headers: dict[str, str]
-    body: bytes
-    document: dict[str, Any] | None = None
-
-
 # ---- Calls in progress -----------------------------------------------------
 
 
@@ -117,17 +56,17 @@
     def __init__(self, token: int) -> None:
         self.token = token
         self.attempt = targets.Attempt()
-        self._actions: queue.SimpleQueue[gateway.Action] = queue.SimpleQueue()
+        self._actions: queue.SimpleQueue[calls.Action] = queue.SimpleQueue()
 
-    def put(self, action: gateway.Action) -> None:
+    def put(self, action: calls.Action) -> None:
         """Gives an action to the worker; only the owner task calls this."""
-        if isinstance(action, gateway.Send):
+        if isinstance(action, calls.Send):
             # Made here and not by the worker, so that a cancellation right
             # after this action reaches the new attempt.
             self.attempt = targets.Attempt()
         self._actions.put(action)
 
-    def get(self) -> gateway.Action:
+    def get(self) -> calls.Action:
         """Waits for the next action."""
         return self._actions.get()
 
@@ -135,7 +74,7 @@
 class CallerWatch:
     """Notices that a caller has closed its connection during a call."""
 
-    def __init__(self, tell: Callable[[gateway.Event], None]) -> None:
+    def __init__(self, tell: Callable[[calls.Event], None]) -> None:
         self._tell = tell
         self._epoll = select.epoll()
         self._tokens: dict[int, int] = {}
@@ -160,7 +99,7 @@
             for number, _ in self._epoll.poll():
                 token = self._tokens.get(number)
                 if token is not None:
-                    self._tell(gateway.CallerGone(token))
+                    self._tell(calls.CallerGone(token))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -169,7 +108,7 @@
 
     config: settings.EntrySettings
     now: clock.Clock
-    tell: Callable[[gateway.Event], None]
+    tell: Callable[[calls.Event], None]
     calls: dict[int, Call]
     watch: CallerWatch
     client: targets.TargetClient
@@ -178,227 +117,6 @@
     accepts: Callable[[], bool]
 
 
-# ---- Parsing ---------------------------------------------------------------
-
-
-def _header(req: Any, name: bytes) -> str | None:
-    value = req.inheaders.get(name)
-    return None if value is None else value.decode("latin-1").strip()
-
-
-def parse_request_id(req: Any) -> ids.RequestId:
-    """Returns the caller's request id, or a new one."""
-    given = _header(req, b"X-Request-Id")
-    if given is None:
-        return ids.RequestId(uuid.uuid4().hex)
-    if not _TOKEN.match(given):
-        raise BadRequestError("X-Request-Id must be 1 to 128 visible letters")
-    return ids.RequestId(given)
-
-
-def parse_deadline(
-    req: Any, config: settings.EntrySettings
-) -> datetime.timedelta:
-    """Returns the time that the caller gives, at most the maximum."""
-    given = _header(req, b"X-Deadline-Ms")
-    if given is None:
-        return config.default_deadline
-    if not given.isascii() or not given.isdigit() or len(given) > 12:
-        raise BadRequestError("X-Deadline-Ms must be a number of milliseconds")
-    wanted = datetime.timedelta(milliseconds=int(given))
-    return min(wanted, config.max_deadline)
-
-
-def parse_priority(req: Any) -> int | None:
-    """Returns the priority of the header, or None."""
-    given = _header(req, b"X-Priority")
-    if given is None:
-        return None
-    if len(given) != 1 or given not in "0123456789":
-        raise BadRequestError("X-Priority must be 0 to 9")
-    return int(given)
-
-
-def read_body(req: Any, limit: int) -> bytes:
-    """Reads the body of a request."""
-    length = _header(req, b"Content-Length")
-    if not req.chunked_read and length is not None and int(length) > limit:
-        raise BadRequestError(
-            f"the body is longer than {limit} bytes",
-            refusals.Code.BODY_TOO_LARGE,
-        )
-    try:
-        body: bytes = req.rfile.read(limit + 1)
-    except TimeoutError:
-        raise BadRequestError("the body did not arrive in time") from None
-    except (ValueError, OSError) as error:
-        raise BadRequestError("the body is not valid") from error
-    if len(body) > limit:
-        raise BadRequestError(
-            f"the body is longer than {limit} bytes",
-            refusals.Code.BODY_TOO_LARGE,
-        )
-    if not req.chunked_read and len(body) < int(length or 0):
-        raise BadRequestError("the body is incomplete")
-    return body
-
-
-def _discard_body(req: Any) -> None:
-    """Reads what is left of a refused body.
-
-    Closing a connection with unread bytes resets it, and the caller would
-    lose the refusal.
-    """
-    left = MAX_DISCARDED_BYTES
-    with contextlib.suppress(ValueError, OSError):
-        while left > 0 and (data := req.rfile.read(min(left, 65_536))):
-            left -= len(data)
-
-
-def _no_constant(name: str) -> None:
-    raise ValueError(f"{name} is not JSON")
-
-
-def parse_document(body: bytes) -> dict[str, Any]:
-    """Parses the body of a completion."""
-    try:
-        document = json.loads(body, parse_constant=_no_constant)
-    except (ValueError, RecursionError) as error:
-        raise BadRequestError("the body is not JSON") from error
-    if not isinstance(document, dict):
-        raise BadRequestError("the body must be a JSON object")
-    model = document.get("model")
-    if not isinstance(model, str) or not model or len(model) > 300:
-        raise BadRequestError("`model` must be the name of a model")
-    if not isinstance(document.get("stream", False), bool):
-        raise BadRequestError("`stream` must be true or false")
-    return document
-
-
-def _hash_key(scope: str, key: str) -> ids.KeyHash:
-    digest = hashlib.sha256(f"{scope}\0{key}".encode()).digest()
-    return ids.KeyHash(int.from_bytes(digest[:8], "big", signed=True))
-
-
-def _digest(method: str, path: str, body: bytes) -> str:
-    text = f"{method}\0{path}\0".encode()
-    return hashlib.sha256(text + body).hexdigest()
-
-
-def parse(
-    req: Any, request_id: ids.RequestId, parts: Parts, arrived: Any
-) -> Parsed:
-    """Parses a request for a model or a plain service.
-
-    Raises:
-        BadRequestError: It is not valid.
-    """
-    deadline = arrived + parse_deadline(req, parts.config)
-    priority = parse_priority(req)
-    key = _header(req, b"Idempotency-Key")
-    if key is not None and not _KEY.match(key):
-        raise BadRequestError("Idempotency-Key must be 1 to 255 letters")
-    method = req.method.decode("latin-1")
-    uri: bytes = req.uri
-    if not _METHOD.match(method) or not _PATH.match(uri):
-        raise BadRequestError("the method or the path is not valid")
-    text = uri.decode("ascii")
-    body = read_body(req, parts.config.max_body_bytes)
-    if text.startswith(_SERVICES_PREFIX):
-        return _parse_plain(
-            req, request_id, method, text, body, key, priority, deadline
-        )
-    return _parse_completion(
-        request_id, method, text, body, key, priority, deadline
-    )
-
-
-def _parse_completion(
-    request_id: ids.RequestId,
-    method: str,
-    uri: str,
-    body: bytes,
-    key: str | None,
-    priority: int | None,
-    deadline: datetime.timedelta,
-) -> Parsed:
-    path = uri.partition("?")[0]
-    if path not in _COMPLETION_PATHS:
-        raise BadRequestError("no such path")
-    if method != "POST":
-        raise BadRequestError("the method must be POST")
-    document = parse_document(body)
-    stream = document.get("stream", False)
-    if stream and key is not None:
-        raise BadRequestError("a stream cannot have an Idempotency-Key")
-    request = gateway.Request(
-        request_id,
-        gateway.Kind.COMPLETION,
-        document["model"],
-        stream,
-        True,
-        priority,
-        deadline,
-        None if key is None else _hash_key(path, key),
-        _digest(method, path, body),
-    )
-    headers = {
-        "Content-Type": "application/json",
-        "X-Request-Id": request_id,
-        "Accept": "text/event-stream" if stream else "application/json",
-    }
-    if priority is not None:
-        headers["X-Priority"] = str(priority)
-    return Parsed(request, method, path, headers, b"", document)
-
-
-def _parse_plain(
-    req: Any,
-    request_id: ids.RequestId,
-    method: str,
-    uri: str,
-    body: bytes,
-    key: str | None,
-    priority: int | None,
-    deadline: datetime.timedelta,
-) -> Parsed:
-    rest = uri.removeprefix(_SERVICES_PREFIX)
-    service, _, path = rest.partition("/")
-    if "?" in service:
-        service, _, query = service.partition("?")
-        path = f"?{query}"
-    if not _NAME.match(service):
-        raise BadRequestError("no such service", refusals.Code.UNKNOWN_SERVICE)
-    request = gateway.Request(
-        request_id,
-        gateway.Kind.PLAIN,
-        service,
-        False,
-        method in _REPEATABLE_METHODS,
-        priority,
-        deadline,
-        None if key is None else _hash_key(service, key),
-        _digest(method, uri, body),
-    )
-    headers = {}
-    for raw_name, raw_value in req.inheaders.items():
-        name = raw_name.decode("latin-1")
-        value = raw_value.decode("latin-1").strip()
-        if name.lower() in _HOP_BY_HOP or name.lower() in _OWN_HEADERS:
-            continue
-        if not _HEADER_NAME.match(name) or not _HEADER_VALUE.match(value):
-            raise BadRequestError("a header is not valid")
-        headers[name] = value
-    headers["X-Request-Id"] = request_id
-    # Without it, urllib3 would ask for encodings that the caller may not
-    # know.
-    if "accept-encoding" not in {name.lower() for name in headers}:
-        headers["Accept-Encoding"] = "identity"
-    if body or method not in _REPEATABLE_METHODS:
-        headers["Content-Length"] = str(len(body))
-    return Parsed(request, method, f"/{path}", headers, body)
-
-
 # ---- Answering -------------------------------------------------------------
 
 
@@ -419,9 +137,9 @@
         lower = name.lower()
         if lower == "content-length":
             given_length = value
-        if lower in _HOP_BY_HOP or lower in ("x-request-id", "date"):
+        if lower in parsing.HOP_BY_HOP or lower in ("x-request-id", "date"):
             continue
-        if _HEADER_NAME.match(name) and _HEADER_VALUE.match(value):
+        if parsing.is_valid_header(name, value):
             req.outheaders.append((name.encode(), value.encode("latin-1")))
     has_body = req.method != b"HEAD" and status not in (204, 304)
     if has_body:
@@ -494,7 +212,9 @@
 class _Worker:
     """Carries one call."""
 
-    def __init__(self, req: Any, parsed: Parsed, call: Call, parts: Parts):
+    def __init__(
+        self, req: Any, parsed: parsing.Parsed, call: Call, parts: Parts
+    ):
         self._req = req
         self._parsed = parsed
         self._call = call
@@ -505,6 +225,7 @@
         self._opened: targets.Connection | None = None
         self._opened_address = ""
         self._sends = 0
+        self._reused = False
         self._arrived = parts.now()
 
     def run(self) -> None:
@@ -516,35 +237,35 @@
             if self._opened is not None:
                 self._opened.close()
 
-    def _carry_out(self, action: gateway.Action) -> bool:
+    def _carry_out(self, action: calls.Action) -> bool:
         """Carries out an action; returns whether it was the last one."""
         token = self._call.token
         match action:
-            case gateway.Send():
+            case calls.Send():
                 return self._send(action)
-            case gateway.Open():
+            case calls.Open():
                 self._open(action)
-            case gateway.ClaimKey():
+            case calls.ClaimKey():
                 decision, outcome = self._parts.link.claim_key(
                     action.key, action.timeout
                 )
-                self._tell(gateway.KeyDecided(token, decision, outcome))
-            case gateway.EnsureAdapter():
+                self._tell(calls.KeyDecided(token, decision, outcome))
+            case calls.EnsureAdapter():
                 resident = self._parts.link.ensure_adapter(
                     action.target, action.adapter, action.timeout
                 )
-                self._tell(gateway.AdapterDecided(token, resident))
-            case gateway.Refuse():
+                self._tell(calls.AdapterDecided(token, resident))
+            case calls.Refuse():
                 self._refuse(action.refusal)
                 return True
-            case gateway.Replay():
+            case calls.Replay():
                 self._replay(action.outcome)
                 return True
-            case gateway.Abandon():
+            case calls.Abandon():
                 raise ConnectionResetError(errno.ECONNRESET, "caller gone")
         return False
 
-    def _tell(self, event: gateway.Event) -> None:
+    def _tell(self, event: calls.Event) -> None:
         self._parts.tell(event)
 
     def _refuse(self, refusal: refusals.Refusal) -> None:
@@ -557,13 +278,13 @@
     def _count_refusal(self, refusal: refusals.Refusal) -> None:
         self._parts.meters.count_refusal(refusal.code.value, refusal.run.value)
 
-    def _count_first_byte(self, action: gateway.Send, status: int) -> None:
+    def _count_first_byte(self, action: calls.Send, status: int) -> None:
         meters = self._parts.meters
         meters.count_request(status)
         if action.cold:
             meters.observe_cold_start(self._parts.now() - self._arrived)
 
-    def _replay(self, outcome: gateway.StoredOutcome) -> None:
+    def _replay(self, outcome: calls.StoredOutcome) -> None:
         _write_answer(
             self._req,
             outcome.status,
@@ -573,7 +294,7 @@
             self._parsed.request.request_id,
         )
 
-    def _open(self, action: gateway.Open) -> None:
+    def _open(self, action: calls.Open) -> None:
         if self._opened is not None:
             self._opened.close()
             self._opened = None
@@ -583,16 +304,17 @@
                 action.address, self._deadline
             )
         except targets.AttemptError as error:
-            self._tell(gateway.AttemptEnded(self._call.token, error.failure))
+            self._tell(calls.AttemptEnded(self._call.token, error.failure))
         else:
-            self._tell(gateway.Opened(self._call.token))
+            self._tell(calls.Opened(self._call.token))
 
-    def _send(self, action: gateway.Send) -> bool:
+    def _send(self, action: calls.Send) -> bool:
         """Makes one attempt; returns whether the caller has its answer."""
         self._sends += 1
         if self._sends > 1:
             self._parts.meters.count_retry()
         attempt = self._call.attempt
+        self._reused = False
         connection = None
         try:
             connection = self._take_connection(action)
@@ -604,31 +326,36 @@
             self._fail(action, error.failure)
             return False
 
-    def _fail(self, action: gateway.Send, failure: retries.Failure) -> None:
+    def _fail(self, action: calls.Send, failure: retries.Failure) -> None:
         if failure in (retries.Failure.SILENT, retries.Failure.CUT):
             self._parts.client.drop_idle(action.address)
         self._tell(
-            gateway.AttemptEnded(
+            calls.AttemptEnded(
                 self._call.token,
                 failure,
                 self._writer.is_started,
                 self._events.last_event,
+                self._reused,
             )
         )
 
-    def _take_connection(self, action: gateway.Send) -> targets.Connection:
+    def _take_connection(self, action: calls.Send) -> targets.Connection:
         opened, self._opened = self._opened, None
         if opened is not None:
             if self._opened_address == action.address and opened.is_connected:
                 return opened
             opened.close()
-        return self._parts.client.get_connection(
-            action.address, self._deadline, fresh=action.fresh
-        )
+        client = self._parts.client
+        if not action.fresh:
+            idle = client.take_idle(action.address)
+            if idle is not None:
+                self._reused = True
+                return idle
+        return client.connect(action.address, self._deadline)
 
     def _exchange(
         self,
-        action: gateway.Send,
+        action: calls.Send,
         connection: targets.Connection,
         attempt: targets.Attempt,
     ) -> bool:
@@ -650,7 +377,7 @@
             failure = targets.classify_completion(answer)
             if failure is not None:
                 raise targets.AttemptError(failure)
-        self._tell(gateway.AttemptEnded(self._call.token, None))
+        self._tell(calls.AttemptEnded(self._call.token, None))
         self._count_first_byte(action, answer.status)
         self._store(answer)
         _write_answer(
@@ -663,7 +390,7 @@
         )
         return True
 
-    def _make_outgoing(self, action: gateway.Send) -> targets.Outgoing:
+    def _make_outgoing(self, action: calls.Send) -> targets.Outgoing:
         headers = self._parsed.headers
         body = self._parsed.body
         document = self._parsed.document
@@ -692,9 +419,9 @@
         headers = tuple(
             (name, value)
             for name, value in answer.headers
-            if name.lower() not in _HOP_BY_HOP
+            if name.lower() not in parsing.HOP_BY_HOP
         )
-        outcome = gateway.StoredOutcome(
+        outcome = calls.StoredOutcome(
             answer.status, headers, answer.body, self._parsed.request.digest
         )
         if not self._parts.link.store_outcome(key, outcome):
@@ -702,7 +429,7 @@
 
     def _copy_stream(
         self,
-        action: gateway.Send,
+        action: calls.Send,
         connection: targets.Connection,
         response: targets.Response,
         attempt: targets.Attempt,
@@ -724,7 +451,7 @@
         except streams.StreamError as error:
             raise targets.AttemptError(retries.Failure.MALFORMED) from error
         self._finish_stream(action, connection, response, attempt)
-        self._tell(gateway.AttemptEnded(self._call.token, None))
+        self._tell(calls.AttemptEnded(self._call.token, None))
         return True
 
     def _write_events(self, data: bytes) -> None:
@@ -735,7 +462,7 @@
 
     def _finish_stream(
         self,
-        action: gateway.Send,
+        action: calls.Send,
         connection: targets.Connection,
         response: targets.Response,
         attempt: targets.Attempt,
@@ -839,14 +566,14 @@
         req.close_connection = True
     request_id = ids.RequestId(uuid.uuid4().hex)
     try:
-        request_id = parse_request_id(req)
+        request_id = parsing.parse_request_id(req)
         path = req.uri.partition(b"?")[0].decode("latin-1")
         if path == _MODELS_PATH and req.method in (b"GET", b"HEAD"):
             _list_models(req, parts, request_id)
             return
-        parsed = parse(req, request_id, parts, arrived)
-    except BadRequestError as error:
-        _discard_body(req)
+        parsed = parsing.parse(req, request_id, parts.config, arrived)
+    except parsing.BadRequestError as error:
+        parsing.discard_body(req)
         req.close_connection = True
         refusal = refusals.Refusal(error.code, str(error), request_id)
         write_refusal(req, refusal)
@@ -855,19 +582,19 @@
     call = Call(next(tokens))
     worker = _Worker(req, parsed, call, parts)
     parts.calls[call.token] = call
-    parts.tell(gateway.Arrived(call.token, parsed.request))
+    parts.tell(calls.Arrived(call.token, parsed.request))
     handle = req.conn.socket
     parts.watch.add(handle, call.token)
     try:
         worker.run()
     finally:
         parts.watch.remove(handle)
-        parts.tell(gateway.CallEnded(call.token))
+        parts.tell(calls.CallEnded(call.token))
 
 
 def _list_models(req: Any, parts: Parts, request_id: ids.RequestId) -> None:
     names: queue.SimpleQueue[list[str]] = queue.SimpleQueue()
-    parts.tell(gateway.ModelsWanted(names.put))
+    parts.tell(calls.ModelsWanted(names.put))
     data = [
         {"id": name, "object": "model", "owned_by": "quetzalgauge"}
         for name in names.get()
