Ignore a status that was asked for before the lease was claimed

Cause: a process that gets a target back could use a status from its earlier lease and release a slot that another holder has loaded in between. Ruled out: comparing times, since a question and the claim can have the same one. The status is now dropped when an own claim is read, and the answer under way is ignored. The test sees the release without the change, and none with it.

--- a/src/quetzalgauge/controller.py
+++ b/src/quetzalgauge/controller.py
@@ -403,6 +403,7 @@
             envelope.writer == self._ctx.writer
         ):
             self._choose_polls()
+            self._polls.void(body.target, self._now)
         self._placement.note_change()
         self._needs_review = True
 
--- a/src/quetzalgauge/leases.py
+++ b/src/quetzalgauge/leases.py
@@ -190,6 +190,9 @@
             if own:
                 number = ids.FencingNumber(offset)
                 self._own_numbers.add((body.target, number))
+                # Another holder may have given orders since it was asked for.
+                self._statuses.pop(body.target, None)
+                self._marks.pop(body.target, None)
                 self._claim_confirmed[body.target] = self._claim_sent.get(
                     body.target, _LONG_AGO
                 )
--- a/src/quetzalgauge/polls.py
+++ b/src/quetzalgauge/polls.py
@@ -19,6 +19,7 @@
 
     at: datetime.timedelta
     mark: int
+    is_void: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,6 +56,14 @@
         if row is not None:
             row.due = now
 
+    def void(self, target: ids.TargetId, now: datetime.timedelta) -> None:
+        """Ignores the answer that is under way, and asks again after it."""
+        row = self._rows.get(target)
+        if row is not None:
+            row.due = now
+            if row.asked is not None:
+                row.asked.is_void = True
+
     def take_due(
         self, mark: int, now: datetime.timedelta
     ) -> list[ids.TargetId]:
@@ -76,4 +85,4 @@
             return None
         asked = row.asked
         row.asked = None
-        return asked
+        return None if asked is None or asked.is_void else asked
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -301,3 +301,45 @@
     world.run(15)
     assert "node-0" in world.stopped
     assert all(world.holder(t) == "node-1" for t in world.targets)
+
+
+def test_a_status_from_before_the_claim_releases_nothing():
+    """Guards against a release of what another holder has loaded since.
+
+    The status was asked for in an earlier lease, and its answer comes when the
+    target was held by another process and is held again.
+    """
+    world = make_world(instances=1)
+    # A cached checkpoint is not loaded without demand.
+    tier = messages.CacheTier.DISK
+    world.targets["lm-0"].cached[("report-0", "v1")] = tier
+    world.run(1)
+    core = world.controllers["node-0"]
+    poll = world._do_PollTarget
+    status = world.targets["lm-0"].status(world.clock())
+    held_back = []
+    world._do_PollTarget = lambda name, action: held_back.append(action)
+    world.run(1.5)
+    assert len(held_back) == 1
+    claim = records.LeaseClaim("lm-0", world.ledger.latest_renewal("lm-0"))
+    core._propose(claim)
+    world.send("node-0", messages.Tick())
+    world._pump()
+    assert world.ledger.lease("lm-0").fencing_number > 1
+    assert world.ledger.older_numbers_closed("lm-0")
+    world.targets["lm-0"].models[("report-0", "v1")] = [
+        ids.SlotId("report-0", control_fakes.ZONE, 0),
+        1,
+        world.clock(),
+        set(),
+    ]
+    world.ticket(2, {"report-0": None})
+    world.send("node-0", messages.TargetPolled("lm-0", status))
+    world._pump()
+    assert len(accepted(world, records.Release)) == 0
+    world._do_PollTarget = poll
+    for action in held_back[1:]:
+        poll("node-0", action)
+    world.run(10)
+    assert not world.loaded()
+    assert len(accepted(world, records.Release)) == 1
