--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import socket
+import ssl
 import subprocess
 import sys
 import threading
@@ -361,8 +362,13 @@
     """A real entry process."""
 
     def __init__(
-        self, directory: pathlib.Path, control_port: int, **more: Any
+        self,
+        directory: pathlib.Path,
+        control_port: int,
+        context: ssl.SSLContext | None = None,
+        **more: Any,
     ) -> None:
+        self._context = context
         config = make_config(control_port, **more)
         path = directory / "entry.json"
         path.write_text(json.dumps(config))
@@ -403,7 +409,13 @@
         raise AssertionError(f"no routes: {self.log}")
 
     def connect(self) -> http.client.HTTPConnection:
-        return http.client.HTTPConnection("127.0.0.1", self.port, timeout=20)
+        if self._context is None:
+            return http.client.HTTPConnection(
+                "127.0.0.1", self.port, timeout=20
+            )
+        return http.client.HTTPSConnection(
+            "127.0.0.1", self.port, timeout=20, context=self._context
+        )
 
     def call(
         self,
@@ -413,9 +425,11 @@
         headers: dict[str, str] | None = None,
         port: int = 0,
     ) -> "Reply":
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", port or self.port, timeout=20
-        )
+        connection = self.connect()
+        if port:
+            connection = http.client.HTTPConnection(
+                "127.0.0.1", port, timeout=20
+            )
         with contextlib.closing(connection):
             connection.request(method, path, body, headers or {})
             response = connection.getresponse()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+import certificates
 import entry_fakes
 import pytest
 
@@ -14,6 +15,7 @@
 from quetzalgauge import settings
 from quetzalgauge import streams
 from quetzalgauge import targets as targets_module
+from quetzalgauge import wire
 from quetzalgauge.gen import ttypes
 
 pytestmark = pytest.mark.process
@@ -331,3 +333,31 @@
         property(lambda self: self.last_event == "3"),
     )
     assert looks_whole(complete_in_process(tmp_path, CUT_STREAM, True))
+
+
+def test_tls_listener_passes_streams_and_notices_callers(tmp_path, targets):
+    """Guards against a streaming path that works without TLS only."""
+    tls = certificates.make_tls(tmp_path)
+    context = wire.make_client_context(tls)
+    listen_tls = {
+        name: str(value)
+        for name, value in tls.model_dump().items()
+        if value is not None
+    }
+    targets[0].default = entry_fakes.stream(5)
+
+    def set_up(control):
+        control.add_model("m", targets[0])
+
+    with entry_fakes.system(
+        tmp_path, set_up, context=context, listen_tls=listen_tls
+    ) as (entry, _):
+        body = entry.complete("m", stream=True).body
+        assert body.endswith(entry_fakes.DONE)
+        targets[0].default = targets[0].silent
+        connection = entry.connect()
+        text = json.dumps({"model": "m", "stream": True})
+        connection.request("POST", "/v1/completions", text)
+        assert entry_fakes.wait_for(lambda: len(targets[0].received) == 2)
+        connection.close()
+        assert targets[0].ended.wait(0.6)
