Give a completion that is not streamed half of its time

Cause: an engine sends nothing while it computes such an answer, so one that takes longer than target_silence_timeout (15 s) was ended and started again on another target. Ruled out: asking the engine for a stream and joining it, which changes the body that callers get; no limit at all, which leaves no time for a retry. Change: the limit before and during such an answer is the silence timeout or half of the time left, whichever is longer.

--- a/src/quetzalgauge/callers.py
+++ b/src/quetzalgauge/callers.py
@@ -410,6 +410,7 @@
             body,
             self._parsed.request.request_id,
             self._deadline,
+            document is not None and not self._parsed.request.stream,
         )
 
     def _store(self, answer: targets.Answer) -> None:
--- a/src/quetzalgauge/targets.py
+++ b/src/quetzalgauge/targets.py
@@ -156,6 +156,7 @@
     body: bytes
     request_id: str
     deadline: float  # Seconds on the process clock.
+    is_long: bool = False  # The target computes the whole answer first.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -206,7 +207,7 @@
     ) -> Response:
         """Sends a request and returns its answer up to the headers."""
         attempt.attach(connection)
-        connection.timeout = self._time_left(outgoing.deadline)
+        connection.timeout = self._time_left(outgoing)
         with self._failures(attempt, outgoing.deadline):
             connection.request(
                 outgoing.method,
@@ -269,9 +270,14 @@
     def _seconds(self) -> float:
         return self._now().total_seconds()
 
-    def _time_left(self, deadline: float) -> float:
-        left = deadline - self._seconds()
-        return max(0.001, min(self._timeouts.silence, left))
+    def _time_left(self, outgoing: Outgoing) -> float:
+        left = outgoing.deadline - self._seconds()
+        silence = self._timeouts.silence
+        if outgoing.is_long:
+            # An engine sends nothing while it computes an answer that is not
+            # streamed. Half of the time is left for another attempt.
+            silence = max(silence, left / 2)
+        return max(0.001, min(silence, left))
 
     @contextlib.contextmanager
     def _failures(self, attempt: Attempt, deadline: float) -> Iterator[None]:
