--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -69,6 +69,12 @@
         control.add_model("single", target)
         control.add_model("gone", gone)
         control.add_model("cold")
+        control.add_model(
+            "slow",
+            gone,
+            state=ttypes.ReplicaState.LOADING,
+            ready_in=3600.0,
+        )
         control.add_adapter("loft", "single")
         control.add_adapter("loft2", "single")
         control.add_service("one", target)
@@ -126,6 +132,7 @@
 }
 
 
+@pytest.mark.covers("crash", "request")
 @pytest.mark.parametrize("fault", FAULTS)
 def test_booking_is_sent_once_and_answered_unknown(world, fault):
     """Guards against a second send and a wrong `not_run` of a booking."""
@@ -136,6 +143,7 @@
     assert len(target.received) == 1
 
 
+@pytest.mark.covers("half-open connection", "request")
 def test_silent_booking_ends_and_makes_the_target_suspect(world):
     """Guards against a half-open connection that blocks a caller."""
     entry, _, target, _ = world
@@ -151,6 +159,7 @@
     assert len(target.received) == 1
 
 
+@pytest.mark.covers("reorder", "request")
 def test_late_answer_does_not_reach_another_request(world):
     """Guards against crossed answers on an abandoned connection."""
     entry, _, target, _ = world
@@ -182,6 +191,7 @@
     assert len(target.received) == 1
 
 
+@pytest.mark.covers("duplicate", "request")
 def test_surplus_answer_does_not_reach_the_next_request(world):
     """Guards against an answer that waits on an idle connection."""
     entry, _, target, _ = world
@@ -196,6 +206,7 @@
     assert entry.complete("single").body == b'"next"'
 
 
+@pytest.mark.covers("half-open connection", "request")
 @pytest.mark.parametrize("fault", ["cut", "silent"])
 def test_idle_connection_that_failed_is_replaced(world, fault):
     """Guards against a failure although new connections work."""
@@ -217,6 +228,7 @@
     assert (reply.code, reply.run) == ("target_failed", "not_run")
 
 
+@pytest.mark.covers("cut", "request")
 def test_unsent_booking_goes_to_another_target(world):
     """Guards against a refusal while another target works."""
     entry, _, target, _ = world
@@ -237,6 +249,7 @@
         used.add(one.connection)
 
 
+@pytest.mark.covers("crash", "request")
 @pytest.mark.parametrize("fault", ["cut", "half answer", "wrong id"])
 def test_completion_is_retried_elsewhere(world, fault):
     """Guards against one bad target that fails a repeatable request."""
@@ -285,6 +298,7 @@
     return head, json.loads(last)["error"]
 
 
+@pytest.mark.covers("reclaimed instance", "request")
 @pytest.mark.parametrize(
     "script",
     [
@@ -404,6 +418,19 @@
     assert 0.25 < time.monotonic() - start < 1
 
 
+@pytest.mark.covers("slow weight store", "request")
+def test_too_long_load_is_refused_at_once(world):
+    """Guards against a refusal that comes only at the deadline."""
+    entry, *_ = world
+    start = time.monotonic()
+    reply = entry.complete("slow", headers={"X-Deadline-Ms": "5000"})
+    assert (reply.status, reply.code) == (503, "wait_too_long")
+    assert reply.run == "not_run"
+    # The load takes an hour from the start of the shared system.
+    assert 3000 < int(reply.headers["Retry-After"]) <= 3600
+    assert time.monotonic() - start < 1
+
+
 def test_deadline_covers_the_answer(world):
     """Guards against a late answer and a wrong `not_run`."""
     entry, _, target, _ = world
@@ -444,6 +471,7 @@
     )
 
 
+@pytest.mark.covers("duplicate", "request")
 def test_keyed_booking_runs_once_and_is_answered_from_store(world):
     """Guards against a second booking by a caller's second try."""
     entry, _, target, _ = world
@@ -457,6 +485,7 @@
     assert len(target.received) == 1
 
 
+@pytest.mark.covers("lost acknowledgement", "request")
 def test_keyed_booking_of_unknown_outcome_is_not_repeated(world):
     """Guards against a second booking after a lost answer."""
     entry, _, target, _ = world
@@ -468,6 +497,7 @@
     assert len(target.received) == 1
 
 
+@pytest.mark.covers("log outage", "request")
 def test_keyed_booking_without_the_log_is_refused(world):
     """Guards against a booking that no other instance knows of."""
     entry, control, target, _ = world
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -337,6 +337,27 @@
     assert looks_whole(complete_in_process(tmp_path, CUT_STREAM, True))
 
 
+@pytest.mark.covers("cut", "start")
+def test_entry_that_starts_before_control_gets_its_routes(tmp_path, targets):
+    """Guards against a start order that leaves an entry without routes."""
+    control = entry_fakes.FakeControl()
+    control.stop()
+    entry = entry_fakes.EntryProcess(tmp_path, control.port)
+    try:
+        reply = entry.complete("m")
+        assert (reply.code, reply.run) == ("no_target", "not_run")
+        ready = entry.call("GET", "/readyz", port=entry.operator_port)
+        assert ready.status == 503
+        control = entry_fakes.FakeControl(control.port)
+        control.add_model("m", targets[0])
+        control.version += 1
+        entry.wait_until_ready()
+        assert entry.complete("m").status == 200
+    finally:
+        entry.close()
+        control.stop()
+
+
 def test_processes_of_an_instance_share_a_port(tmp_path, targets):
     """Guards against a second process that cannot listen."""
     with socket.socket() as probe:
