Test rules of the decision fold that random records seldom reach

Change: examples for these rules, the holder as an invariant with its own guardless variant, and wrong zones, sizes and ended targets in the state machine.

--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -177,8 +177,9 @@
     writer = follower_module.make_decision_follower(random.Random(1))
     register = _data(records.Register("a", "127.0.0.1:1"))
     claim = _data(records.LeaseClaim("lm-1", ids.NO_OFFSET), 2)
-    progress = writer.read(_rows(register, claim), 2)
-    assert all(row.outcome.accepted for row in progress.folded)
+    progress = writer.read(_rows(register, claim, b"\xff"), 3)
+    assert all(row.outcome.accepted for row in progress.folded[:2])
+    assert writer.next_offset == 3
     snapshot = writer.snapshot()
     reader = follower_module.make_decision_follower(random.Random(1))
     reader.take_snapshot(snapshot.covers_offset, snapshot.state)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -67,6 +67,119 @@
     assert ledger.latest_snapshot == 0
 
 
+def _prepared():
+    """Returns a ledger and a function that folds one more record.
+
+    node-1.2 and node-2.1 are in zone a, node-3.1 in zone b. node-1.2 holds
+    lm-1 with number 5 (4 is open too) and lm-2, which is not registered.
+    """
+    ledger = ledger_module.make_ledger()
+
+    def fold(writer, body):
+        offset = ledger.offset + 1
+        instance, incarnation = writer.split(".")
+        envelope = records.Envelope(
+            ids.WriterId(instance, int(incarnation)), offset, body
+        )
+        return ledger_module.apply(ledger, offset, envelope).reason
+
+    for writer, zone in [
+        ("node-1.2", "a"),
+        ("node-2.1", "a"),
+        ("node-3.1", "b"),
+    ]:
+        fold(writer, records.Register(zone, ""))
+    fold("node-2.1", records.LeaseClaim("lm-0", ids.NO_OFFSET))
+    fold("node-1.2", records.LeaseClaim("lm-1", ids.NO_OFFSET))
+    fold("node-1.2", records.LeaseClaim("lm-1", 4))
+    fold("node-1.2", records.Close("lm-1", 4, records.CloseProof.FENCED))
+    fold("node-1.2", records.TargetRegister("lm-1", "x", "a", 6, True))
+    fold("node-1.2", records.LeaseClaim("lm-2", ids.NO_OFFSET))
+    slot = ids.SlotId("m", "a", 0)
+    fold("node-1.2", records.Reserve("lm-1", 5, slot, "v", 3))
+    return ledger, fold
+
+
+@pytest.mark.parametrize(
+    ("writer", "body", "reason"),
+    [
+        (
+            "node-2.1",
+            records.Reserve("lm-1", 5, ids.SlotId("m", "a", 1), "v", 1),
+            "the writer does not hold the lease with this number",
+        ),
+        (
+            "node-1.2",
+            records.Reserve("lm-1", 4, ids.SlotId("m", "a", 1), "v", 1),
+            "the writer does not hold the lease with this number",
+        ),
+        (
+            "node-1.2",
+            records.Reserve("lm-2", 8, ids.SlotId("m", "a", 1), "v", 1),
+            "the target is not registered",
+        ),
+        (
+            "node-1.2",
+            records.Reserve("lm-1", 5, ids.SlotId("m", "a", -1), "v", 1),
+            "the slot's index is negative",
+        ),
+        (
+            "node-2.1",
+            records.Release("lm-1", 5, ids.SlotId("m", "a", 0)),
+            "the writer does not hold the lease with this number",
+        ),
+        (
+            "node-1.2",
+            records.Release("lm-1", 4, ids.SlotId("m", "a", 0)),
+            "the writer does not hold the lease with this number",
+        ),
+        (
+            "node-2.1",
+            records.InstanceGone("node-1", 1),
+            "a newer incarnation is registered",
+        ),
+        (
+            "node-3.1",
+            records.TargetGone("lm-1", "x"),
+            "the target is in another zone",
+        ),
+        ("node-2.1", records.TargetGone("lm-1", "x"), ""),
+    ],
+)
+def test_rejections_name_the_broken_rule(writer, body, reason):
+    """Guards against a rule that the random records seldom reach."""
+    _, fold = _prepared()
+    assert fold(writer, body) == reason
+
+
+def test_an_ended_target_has_no_memory_and_does_not_come_back():
+    """Guards against replicas on an incarnation that was given up."""
+    ledger, fold = _prepared()
+    assert fold("node-1.2", records.TargetGone("lm-1", "x")) == ""
+    assert ledger.unreserved_bytes("lm-1") == 0
+    assert not ledger.slots
+    again = records.TargetRegister("lm-1", "x", "a", 6, True)
+    reason = "this incarnation of the target has ended"
+    assert fold("node-1.2", again) == reason
+    later = records.TargetRegister("lm-1", "y", "a", 6, True)
+    assert fold("node-1.2", later) == ""
+
+
+def test_a_target_in_use_is_not_forgotten(monkeypatch):
+    """Guards against a pruned lease, and against targets kept for ever."""
+    monkeypatch.setattr(ledger_module, "VACANT_TARGET_LIMIT", 0)
+    ledger, fold = _prepared()
+    fold("node-1.2", records.Resign(("lm-1", "lm-2")))
+    assert {"lm-0", "lm-1", "lm-2"} == set(ledger.targets)
+    settled = records.CloseProof.SETTLED
+    fold("node-1.2", records.Close("lm-2", 8, settled))
+    assert {"lm-0", "lm-1"} == set(ledger.targets)
+    fold("node-1.2", records.Close("lm-1", 5, settled))
+    assert {"lm-0", "lm-1"} == set(ledger.targets)
+    fold("node-2.1", records.TargetGone("lm-1", "x"))
+    assert {"lm-0"} == set(ledger.targets)
+
+
 def test_the_lists_of_the_gone_are_bounded(monkeypatch):
     """Guards against state that grows with every replaced instance."""
     monkeypatch.setattr(ledger_module, "GONE_WRITER_LIMIT", 2)
@@ -84,6 +197,7 @@
         ledger_module.apply(
             ledger, offset, records.Envelope(writer, offset, body)
         )
+    assert len(ledger._gone_writers) == 2
     # Open numbers are never forgotten.
     assert len(ledger.targets) == 5
     for place, number in enumerate(range(1, 6)):
@@ -189,8 +303,12 @@
             self.check_claim(writer, body)
         if isinstance(body, records.Close):
             self.check_close(writer, body)
+        if isinstance(body, records.Reserve | records.Release):
+            lease = self.ledger.lease(body.target)
+            held = (lease.holder, lease.fencing_number) if lease else None
+            assert held == (writer, body.fencing_number), "not the holder"
         if isinstance(body, records.Release | records.TargetRegister):
-            number = self.ledger.lease(body.target).fencing_number
+            number = self.ledger.targets[body.target].fencing_number
             older = [one for one in self.open[body.target] if one < number]
             assert not older, "an older fencing number was open"
 
@@ -221,6 +339,12 @@
         zone = _ZONES[writer.instance]
         self.send(writer, records.Register(zone, "127.0.0.1:1"))
 
+    @stateful.rule(data=strategies.data())
+    def register_in_another_zone(self, data):
+        writer = self.writer(data)
+        if self.ledger.is_registered(writer):
+            self.send(writer, records.Register("c", "127.0.0.1:1"))
+
     @stateful.rule(writer=_writers, incarnation=strategies.integers(1, 2))
     def end_instance(self, writer, incarnation):
         sender = _WRITERS[2]
@@ -283,12 +407,20 @@
         self.send(sender, records.Close(name, number, proof))
 
     @stateful.rule(
-        name=_targets, incarnation=_incarnations, data=strategies.data()
+        name=_targets,
+        incarnation=_incarnations,
+        is_gone=strategies.booleans(),
+        memory=strategies.sampled_from([_MEMORY, _MEMORY, 0, -1]),
+        data=strategies.data(),
     )
-    def register_target(self, name, incarnation, data):
+    def register_target(self, name, incarnation, is_gone, memory, data):
         writer, _ = self.holder(name, data)
+        if is_gone:
+            self.send(writer, records.TargetGone(name, "x"))
+            self.send(writer, records.TargetGone(name, "y"))
         zone = _ZONES[writer.instance]
-        body = records.TargetRegister(name, incarnation, zone, _MEMORY, True)
+        zone = data.draw(strategies.sampled_from([zone, zone, "b"]))
+        body = records.TargetRegister(name, incarnation, zone, memory, True)
         self.send(writer, body)
 
     @stateful.rule(
@@ -386,6 +518,7 @@
 
     @stateful.invariant()
     def the_states_agree(self):
+        assert self.ledger.offset == self.offset
         assert self.ledger.slots == {
             slot: name
             for name in _TARGETS
@@ -444,6 +577,7 @@
         ("_is_newer_incarnation", "an older writer|an ended writer"),
         ("_is_new_sequence", "a duplicate took effect"),
         ("_is_latest_renewal", "a claim ignored"),
+        ("_holds_lease", "not the holder"),
         ("_is_close_proven", "settled|is not gone|not fenced"),
     ],
 )
