--- a/src/quetzalgauge/entry.py
+++ b/src/quetzalgauge/entry.py
@@ -15,6 +15,7 @@
 import cyclopts
 
 from quetzalgauge import callers
+from quetzalgauge import calls
 from quetzalgauge import clock
 from quetzalgauge import controllink
 from quetzalgauge import exceptions
@@ -47,10 +48,11 @@
     def __init__(self, config: settings.EntrySettings) -> None:
         self._config = config
         self._now = clock.make_monotonic_clock()
-        self._inbox: queue.SimpleQueue[gateway.Event] = queue.SimpleQueue()
-        self._reports: queue.SimpleQueue[gateway.SendReport | None] = (
+        self._inbox: queue.SimpleQueue[calls.Event] = queue.SimpleQueue()
+        self._reports: queue.SimpleQueue[calls.SendReport | None] = (
             queue.SimpleQueue()
         )
+        self._urgent: queue.SimpleQueue[calls.SendReport] = queue.SimpleQueue()
         self._calls: dict[int, callers.Call] = {}
         self._stopped = threading.Event()
         self._cut = 0
@@ -114,6 +116,7 @@
             ("owner", self._run_owner),
             ("watch", self._watch.run),
             ("sync", self._run_sync),
+            ("urgent", self._run_urgent),
             ("callers", self._server.serve),
         ):
             threading.Thread(
@@ -123,7 +126,7 @@
 
     def drain(self) -> None:
         """Starts the graceful shutdown."""
-        self._inbox.put(gateway.DrainRequested())
+        self._inbox.put(calls.DrainRequested())
 
     def wait(self) -> int:
         """Waits for the end of the shutdown; returns the calls cut off."""
@@ -148,7 +151,7 @@
         while True:
             now = self._now()
             if now >= next_tick:
-                self._step(gateway.Tick(), now)
+                self._step(calls.Tick(), now)
                 self._ticked = now
                 self._report_queues()
                 next_tick = now + TICK
@@ -172,38 +175,48 @@
 
     def _dump(self) -> dict[str, Any]:
         answers: queue.SimpleQueue[dict[str, Any]] = queue.SimpleQueue()
-        self._inbox.put(gateway.DumpWanted(answers.put))
+        self._inbox.put(calls.DumpWanted(answers.put))
         try:
             return answers.get(timeout=DUMP_TIMEOUT_SECONDS)
         except queue.Empty:
             raise exceptions.PeerError("the owner task is busy") from None
 
-    def _step(self, event: gateway.Event, now: datetime.timedelta) -> None:
+    def _step(self, event: calls.Event, now: datetime.timedelta) -> None:
         actions = self._gateway.step(event, now)
-        if isinstance(event, gateway.CallEnded):
+        if isinstance(event, calls.CallEnded):
             self._calls.pop(event.token, None)
         for action in actions:
             self._carry_out(action)
 
-    def _carry_out(self, action: gateway.Action) -> None:
+    def _carry_out(self, action: calls.Action) -> None:
         match action:
-            case gateway.SendReport():
+            case calls.SendReport(urgent=True):
+                self._urgent.put(action)
+            case calls.SendReport():
                 self._reports.put(action)
-            case gateway.Stop():
+            case calls.Stop():
                 self._cut = action.cut
                 self._reports.put(None)
                 self._stopped.set()
-            case gateway.CancelAttempt():
-                self._calls[action.token].end_attempt(action.failure)
+            case calls.CancelAttempt():
+                self._calls[action.token].attempt.end(action.failure)
             case _:
-                self._calls[action.token].actions.put(action)
+                self._calls[action.token].put(action)
 
-    def _ask_report(self) -> gateway.SendReport | None:
+    def _ask_report(self) -> calls.SendReport | None:
         if self._stopped.is_set():
             return None
-        self._inbox.put(gateway.ReportWanted())
+        self._inbox.put(calls.ReportWanted())
         return self._reports.get()
 
+    def _run_urgent(self) -> None:
+        while True:
+            report = self._urgent.get()
+            # Each report has all demand, so the latest one is enough.
+            while not self._urgent.empty():
+                report = self._urgent.get()
+            self._link.send_urgent(report)
+
     def _run_sync(self) -> None:
         controllink.run_sync(
             self._link, self._ask_report, self._inbox.put, self._stopped.wait
--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -28,8 +28,9 @@
 RESERVE_INTERVAL = datetime.timedelta(seconds=1)
 # Reservations are reviewed without any change only this often.
 RESERVE_REFRESH = datetime.timedelta(seconds=10)
-# Bounds the work and the size of the batch of one review.
+# Bounds the size of the batch and the work of one review.
 _MAX_RESERVES = 20
+_MAX_SLOTS = 60
 # Bytes per second of each tier, for the reload cost. Only their ratio to the
 # idle time matters, which the setting cold_start_weight scales.
 _TIER_RATES = {
@@ -42,8 +43,10 @@
 _COST_FREE = 0
 _COST_RELEASE = 1
 _COST_UNLOAD = 2
-# Requests that wait longer, with no load in progress, show that the zone that
-# was chosen does not serve them.
+# The notice of an unload, the next poll and the unload itself.
+EVICTION_TIME = datetime.timedelta(seconds=4)
+# Requests that wait longer, with no replica loading or ready in the region,
+# show that the zone that was chosen does not serve them.
 REGION_PATIENCE = datetime.timedelta(seconds=10)
 
 _PART = "placement"
@@ -65,7 +68,7 @@
     target: ids.TargetId
     slot: ids.SlotId
     is_reserved: bool
-    rank: tuple[bool, bool, int, int]
+    rank: tuple[datetime.timedelta, int, int]
 
 
 class Placement:
@@ -88,12 +91,15 @@
         self._retry: dict[_Place, datetime.timedelta] = {}
         self._started: dict[_Place, datetime.timedelta] = {}
         self._evicted: dict[_Place, datetime.timedelta] = {}
+        # Loads that were started with nobody waiting.
+        self._warmed: dict[_Place, datetime.timedelta] = {}
         self._remote_starts: list[datetime.timedelta] = []
         self._sent: dict[
             tuple[ids.InstanceId, demand_module.Servable], datetime.timedelta
         ] = {}
         self._reserved_at = _LONG_AGO
         self._reserved_mark: tuple[int, ...] = ()
+        self._next_slot = 0
         self._changes = 0
 
     # ---- What happened -----------------------------------------------------
@@ -124,6 +130,7 @@
         for place in [p for p in self._used if p[0] == target]:
             if place[1] not in loaded:
                 del self._used[place]
+                self._warmed.pop(place, None)
         for place in [p for p in self._started if p[0] == target]:
             # An accepted load that the status does not show has failed.
             if self._is_status_after_orders(*place):
@@ -218,23 +225,31 @@
         self._reserved_mark = mark
         free = {
             target: ctx.ledger.unreserved_bytes(target)
-            for target in self._usable(ctx.zone, now)
+            for target in self.usable_targets(ctx.zone, now)
         }
+        chosen: set[tuple[ids.TargetId, ids.ModelName]] = set()
+        rows = list(self._wanted_slots(now))
+        # The next review goes on where this one stopped, so that slots which
+        # wait for another holder do not keep this one from its own.
+        start = self._next_slot if self._next_slot < len(rows) else 0
+        self._next_slot = 0
         count = 0
-        for slot, spec, is_kept in self._wanted_slots(now):
-            target = self._best_free(slot, spec, free)
+        for place in range(start, len(rows)):
+            if count >= _MAX_RESERVES or place - start >= _MAX_SLOTS:
+                self._next_slot = place
+                self._reserved_mark = ()
+                return
+            slot, spec, is_kept = rows[place]
+            target = self._best_free(slot, spec, free, chosen)
             if target is None:
                 if is_kept:
                     self._place(slot, spec, now)
                 continue
             free[target] -= spec.memory_bytes
+            chosen.add((target, slot.model))
             if ctx.holds(target):
                 self._reserve(target, slot, spec)
-            count += 1
-            if count >= _MAX_RESERVES:
-                # More may fit: look again at the next review.
-                self._reserved_mark = ()
-                return
+                count += 1
 
     # ---- Loading -----------------------------------------------------------
 
@@ -307,7 +322,7 @@
             return True
         return any(
             replica.version == servable.version
-            and replica.state == ttypes.ReplicaState.LOADING
+            and replica.state != ttypes.ReplicaState.UNLOADING
             and self._is_usable(replica.target, now)
             for replica in self._views.replicas(servable.model)
         )
@@ -338,10 +353,8 @@
         cost = 0
         if not is_reserved_place:
             cost = self._cost(target, slot, spec) or 0
-        is_cached = self._views.is_cached(target, slot.model, spec.version)
         rank = (
-            cost == _COST_UNLOAD,
-            not is_cached,
+            self._expected_load(target, slot, spec, cost),
             cost,
             context.weight(servable.model, zone),
         )
@@ -442,9 +455,10 @@
             return False
         return self._leases.live_holder(target, now) is not None
 
-    def _usable(
+    def usable_targets(
         self, zone: ids.AvailabilityZone, now: datetime.timedelta
     ) -> list[ids.TargetId]:
+        """Returns the engines of a zone that can take a load now."""
         return [
             target
             for target in self._ctx.membership.engines(zone)
@@ -556,15 +570,20 @@
         ]
         if len(self._remote_starts) >= share:
             return False
-        loading = sum(
-            replica.state == ttypes.ReplicaState.LOADING
+        loading = {
+            (target, views_module.slot_of(replica))
+            for target in ctx.membership.engines(ctx.zone)
+            for replica in self._replicas_on(target)
+            if replica.state == ttypes.ReplicaState.LOADING
             and not self._views.is_cached(
                 target, replica.slot.model, replica.version
             )
-            for target in ctx.membership.engines(ctx.zone)
-            for replica in self._replicas_on(target)
-        )
-        return loading + len(self._started) < share
+        }
+        loading.update(self._started)
+        needed = sum(place not in self._warmed for place in loading)
+        # Loads that nobody waits for count too, but must not hold back the
+        # first one that is needed: a load takes up to a minute.
+        return needed == 0 or len(loading) < share
 
     def _replicas_on(self, target: ids.TargetId) -> list:
         state = self._views.state(target)
@@ -643,12 +662,14 @@
         slot: ids.SlotId,
         spec: plan_module.Spec,
         free: dict[ids.TargetId, int],
+        chosen: set[tuple[ids.TargetId, ids.ModelName]],
     ) -> ids.TargetId | None:
         """Returns the target for an advance reservation, None if full."""
         fitting = [
             target
             for target, space in free.items()
             if space >= spec.memory_bytes
+            and (target, slot.model) not in chosen
             and not self._has_model(target, slot.model)
         ]
         if not fitting:
@@ -668,19 +689,18 @@
         spec: plan_module.Spec,
         now: datetime.timedelta,
     ) -> ids.TargetId | None:
-        """Returns the best target of a zone, cached checkpoint first.
+        """Returns the target of a zone that is expected to be ready first.
 
-        A target whose other reservations have to move counts after free ones,
-        and one that has to unload an idle model first counts last.
+        Among equal ones, free memory goes before memory that other
+        reservations have to leave.
         """
         best = None
-        for target in self._usable(slot.availability_zone, now):
+        for target in self.usable_targets(slot.availability_zone, now):
             cost = self._cost(target, slot, spec)
             if cost is None:
                 continue
             key = (
-                cost == _COST_UNLOAD,
-                not self._views.is_cached(target, slot.model, spec.version),
+                self._expected_load(target, slot, spec, cost),
                 cost,
                 -self._ctx.ledger.unreserved_bytes(target),
                 context.weight(str(slot), target),
@@ -689,6 +709,23 @@
                 best = (key, target)
         return None if best is None else best[1]
 
+    def _expected_load(
+        self,
+        target: ids.TargetId,
+        slot: ids.SlotId,
+        spec: plan_module.Spec,
+        cost: int,
+    ) -> datetime.timedelta:
+        """Returns about how long a load takes, with the room it needs."""
+        tier = messages.CacheTier.REMOTE
+        if self._views.is_cached(target, slot.model, spec.version):
+            tier = messages.CacheTier.DISK
+        seconds = spec.memory_bytes / _TIER_RATES[tier]
+        expected = datetime.timedelta(seconds=seconds)
+        if cost == _COST_UNLOAD:
+            expected += EVICTION_TIME
+        return expected
+
     def _cost(
         self, target: ids.TargetId, slot: ids.SlotId, spec: plan_module.Spec
     ) -> int | None:
@@ -714,9 +751,16 @@
 
     def _has_model(self, target: ids.TargetId, model: ids.ModelName) -> bool:
         # A second replica of a model on one target would be no second replica.
-        return any(
+        if any(
             slot.model == model
             for slot in self._ctx.ledger.reservations(target)
+        ):
+            return True
+        return any(
+            isinstance(body, records.Reserve)
+            and body.target == target
+            and body.slot.model == model
+            for body in self._ctx.proposed
         )
 
     def _is_spare(
@@ -746,8 +790,18 @@
         if not ctx.reading.is_current(now):
             return
         target = self._best_target(slot, spec, now)
-        if target is None or not ctx.holds(target):
-            return
+        if target is not None and ctx.holds(target):
+            self.place_on(target, slot, spec, now)
+
+    def place_on(
+        self,
+        target: ids.TargetId,
+        slot: ids.SlotId,
+        spec: plan_module.Spec,
+        now: datetime.timedelta,
+    ) -> None:
+        """Reserves a slot on a held target, making room if needed."""
+        ctx = self._ctx
         if not self._leases.can_order(target):
             return
         free = ctx.ledger.unreserved_bytes(target) - self._proposed_bytes(
@@ -758,6 +812,27 @@
         if free >= spec.memory_bytes:
             self._reserve(target, slot, spec)
 
+    def has_spare_room(
+        self, target: ids.TargetId, slot: ids.SlotId, spec: plan_module.Spec
+    ) -> bool:
+        """Whether a slot fits on a target without unloading anything."""
+        cost = self._cost(target, slot, spec)
+        return cost is not None and cost < _COST_UNLOAD
+
+    def warm(
+        self,
+        target: ids.TargetId,
+        slot: ids.SlotId,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Loads a reserved slot that nobody waits for; True if ordered."""
+        self._load(target, slot, now)
+        place = (target, slot)
+        if self._started.get(place) != now:
+            return False
+        self._warmed[place] = now
+        return True
+
     def _proposed_bytes(self, target: ids.TargetId) -> int:
         return sum(
             body.memory_bytes
@@ -868,13 +943,20 @@
         most = plan_module.max_replicas(
             ctx.catalog, slot.model, slot.availability_zone
         )
-        if slot.index >= most:
+        if slot.index >= most or self._is_double(target, slot):
             return True
         spec = plan_module.spec(ctx.catalog, slot.model, reservation.version)
         if spec is None or spec.memory_bytes != reservation.memory_bytes:
             return True
         return self._is_superseded(reservation, now)
 
+    def _is_double(self, target: ids.TargetId, slot: ids.SlotId) -> bool:
+        """Whether a slot of the same model with a lower index is here too."""
+        return any(
+            other.model == slot.model and other.index < slot.index
+            for other in self._ctx.ledger.reservations(target)
+        )
+
     def _is_superseded(
         self, reservation: ledger_module.Reservation, now: datetime.timedelta
     ) -> bool:
@@ -914,6 +996,8 @@
         if model.running or model.waiting:
             return False
         idle = now - self._last_used(target, model, now)
+        if self._is_only_warmed(target, model):
+            return idle > MIN_IDLE
         tier = status.cached.get(
             (slot.model, model.version), messages.CacheTier.REMOTE
         )
@@ -923,6 +1007,17 @@
         )
         return idle > max(MIN_IDLE, limit)
 
+    def _is_only_warmed(
+        self, target: ids.TargetId, model: messages.ModelStatus
+    ) -> bool:
+        """Whether a model was loaded for the cache and not wanted since."""
+        warmed = self._warmed.get((target, model.slot))
+        if warmed is None:
+            return False
+        servable = demand_module.Servable(model.model, model.version)
+        wanted = self._demands.last_wanted(servable)
+        return wanted is None or wanted < warmed
+
     def _last_used(
         self,
         target: ids.TargetId,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -70,6 +70,7 @@
         control.add_model("gone", gone)
         control.add_model("cold")
         control.add_adapter("loft", "single")
+        control.add_adapter("loft2", "single")
         control.add_service("one", target)
         control.add_service("gone", gone)
         control.add_service("half", gone, target)
@@ -150,6 +151,51 @@
     assert len(target.received) == 1
 
 
+def test_late_answer_does_not_reach_another_request(world):
+    """Guards against crossed answers on an abandoned connection."""
+    entry, _, target, _ = world
+
+    def late(handle, received):
+        time.sleep(1.2)
+        return entry_fakes.answer(body=b'"late"')(handle, received)
+
+    target.scripts = [late]
+    target.default = entry_fakes.answer(body=b'"own"')
+    # The second attempt of the first request comes after its late answer.
+    assert entry.complete("single").body == b'"own"'
+    assert entry.complete("single").body == b'"own"'
+    first, *others = (one.connection for one in target.received)
+    assert first not in others
+
+
+def test_surplus_answer_does_not_reach_the_next_request(world):
+    """Guards against an answer that waits on an idle connection."""
+    entry, _, target, _ = world
+
+    def twice(handle, received):
+        entry_fakes.answer(body=b'"own"')(handle, received)
+        return entry_fakes.answer(body=b'"surplus"')(handle, received)
+
+    target.scripts = [twice]
+    target.default = entry_fakes.answer(body=b'"next"')
+    assert entry.complete("single").body == b'"own"'
+    assert entry.complete("single").body == b'"next"'
+
+
+@pytest.mark.parametrize("fault", ["cut", "silent"])
+def test_idle_connection_that_failed_is_replaced(world, fault):
+    """Guards against a failure although new connections work."""
+    entry, _, target, _ = world
+    script = entry_fakes.cut if fault == "cut" else target.silent
+    target.scripts = [entry_fakes.answer(), script]
+    assert entry.call("GET", "/services/one/a").status == 200
+    assert entry.call("GET", "/services/one/b").status == 200
+    connections = [one.connection for one in target.received]
+    assert connections[0] == connections[1] != connections[2]
+    is_suspect = entry.dump()["suspect"] == ["lm-1"]
+    assert is_suspect == (fault == "silent")
+
+
 def test_refused_connection_is_not_run(world):
     """Guards against `unknown` for a call that cannot have run."""
     entry, *_ = world
@@ -432,6 +478,18 @@
     assert len(control.adapter_calls) == 2
 
 
+def test_refused_adapter_is_answered_at_once(world):
+    """Guards against retries of an adapter that no replica can load."""
+    entry, control, *_ = world
+    control.adapter_decision = ttypes.AdapterDecision.REFUSED
+    try:
+        reply = entry.complete("loft2", headers={"X-Deadline-Ms": "900"})
+    finally:
+        control.adapter_decision = ttypes.AdapterDecision.RESIDENT
+    assert (reply.code, reply.run) == ("no_capacity", "not_run")
+    assert control.adapter_calls == [("lm-1", "loft2")]
+
+
 # ---- Hostile bytes
 
 
@@ -519,14 +577,15 @@
 
 
 def test_silent_callers_do_not_block_others(world):
-    """Guards against callers that hold all worker threads."""
+    """Guards against callers that hold all of the 64 worker threads."""
     entry, *_ = world
     with contextlib.ExitStack() as stack:
-        for _ in range(30):
+        for number in range(130):
             handle = stack.enter_context(
                 socket.create_connection(("127.0.0.1", entry.port), 5)
             )
-            handle.sendall(b"POST /v1/comp")
+            if number < 30:
+                handle.sendall(b"POST /v1/comp")
         assert entry.complete("single").status == 200
 
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -77,12 +77,16 @@
     entry, _ = started
     targets[0].default = entry_fakes.answer(201, b"made", media="text/plain")
     reply = entry.call(
-        "POST", "/services/one/a%20b?x=1", b"body", {"X-Other": "y"}
+        "POST",
+        "/services/one/a%20b?x=1",
+        b"body",
+        {"X-Other": "y", "X-Hop": "z", "Connection": "X-Hop, close"},
     )
     assert (reply.status, reply.body) == (201, b"made")
     (received,) = targets[0].received
     assert (received.method, received.path) == ("POST", "/a%20b?x=1")
     assert (received.body, received.headers["x-other"]) == (b"body", "y")
+    assert "x-hop" not in received.headers
 
 
 @pytest.mark.parametrize(
@@ -132,6 +136,29 @@
     assert targets[0].received == []
 
 
+def test_cold_demand_is_reported_at_once(started):
+    """Guards against a cold start that waits for the end of a long poll."""
+    entry, control = started
+    control.poll_time = 3.0
+    reports = len(control.reports)
+    entry_fakes.wait_for(lambda: len(control.reports) > reports)
+    start = time.monotonic()
+    caller = threading.Thread(
+        target=entry.complete,
+        args=("cold",),
+        kwargs={"headers": {"X-Deadline-Ms": "800"}},
+    )
+    caller.start()
+    try:
+        assert entry_fakes.wait_for(
+            lambda: any(one.demands for one in control.reports), 1
+        )
+        assert time.monotonic() - start < 0.5
+    finally:
+        control.poll_time = 0.0
+        caller.join()
+
+
 def test_absent_control_interrupts_nothing(started, targets):
     """Guards against routes or streams that end with the control process."""
     entry, control = started
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import datetime
+import errno
 import random
 import socket
 import struct
@@ -153,6 +154,24 @@
         assert _call(server.address).offset == 7
 
 
+def test_a_failing_accept_does_not_spin():
+    """Guards against a busy loop when file descriptors run out."""
+    calls = []
+
+    class Listener:
+        def accept(self):
+            calls.append(time.monotonic())
+            raise OSError(errno.EMFILE, "too many open files")
+
+    with _run_server() as (server, _):
+        listener, server._listener = server._listener, Listener()
+        server._accept()
+        server._accept()
+        server._listener = listener
+        assert calls[1] - calls[0] >= wire._ACCEPT_PAUSE_SECONDS
+        assert _call(server.address).offset == 7
+
+
 def test_idle_connections_are_closed(monkeypatch):
     """Guards against half-open connections that stay for good."""
     monkeypatch.setattr(wire, "_IDLE_CHECK_SECONDS", 0.05)
@@ -254,3 +273,13 @@
             silent.sendall(b"\x16")
             client_context = wire.make_client_context(tls)
             assert _call(server.address, tls=client_context).offset == 7
+
+
+def test_a_silent_server_ends_the_handshake_in_time(tls):
+    """Guards against a half-open connection before the first call."""
+    context = wire.make_client_context(tls)
+    with stubs.run_silent_server() as address:
+        start = time.monotonic()
+        with pytest.raises(exceptions.PeerUnreachableError):
+            _call(address, tls=context, connect_timeout=_SHORT)
+        assert time.monotonic() - start < 3
