Tell entry processes which plain services exist and what may be repeated

Cause: RouteUpdate carried no services, so a ticket's repeatable_paths had no effect, and a configured service without a route answered 404 unknown_service. Ruled out: reading the ticket in the entry process (it has no log). Change: RouteUpdate has the changed services; the entry core takes an exact path of repeatable_paths as repeatable and answers 503 no_target for a known service without targets. Before and after: two new tests of the gateway fail without the change.

--- a/idl/quetzalgauge.thrift
+++ b/idl/quetzalgauge.thrift
@@ -170,6 +170,12 @@
   3: bool removed,
 }
 
+struct ServiceEntry {
+  1: string service_name,
+  2: list<string> repeatable_paths,
+  3: bool removed,
+}
+
 enum ReplicaState {
   LOADING = 1,
   READY = 2,
@@ -204,6 +210,7 @@
   7: list<ModelEntry> models,
   8: list<AdapterEntry> adapters,
   9: bool log_reachable,
+  10: list<ServiceEntry> services,
 }
 
 struct KeyOutcome {
--- a/src/quetzalgauge/calls.py
+++ b/src/quetzalgauge/calls.py
@@ -39,6 +39,7 @@
         deadline: Time by which the whole answer is due.
         key: Hash of the idempotency key, None without one.
         digest: Digest of method, path and body; equal for a repetition.
+        path: Path at the plain service, without the query.
     """
 
     request_id: ids.RequestId
@@ -50,6 +51,7 @@
     deadline: datetime.timedelta
     key: ids.KeyHash | None = None
     digest: str = ""
+    path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,6 +175,8 @@
         models: Changed models by name; None means removed.
         adapters: Model of each changed adapter; None means removed.
         log_reachable: Whether control reaches the log.
+        services: Paths of each changed plain service that may be repeated
+            with any method; None means removed.
     """
 
     routes_version: int
@@ -183,6 +187,9 @@
     models: dict[ids.ModelName, Model | None]
     adapters: dict[ids.AdapterName, ids.ModelName | None]
     log_reachable: bool
+    services: dict[ids.ServiceName, frozenset[str] | None] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/quetzalgauge/controllink.py
+++ b/src/quetzalgauge/controllink.py
@@ -216,6 +216,12 @@
             for one in update.adapters
         },
         update.log_reachable,
+        {
+            ids.ServiceName(one.service_name): (
+                None if one.removed else frozenset(one.repeatable_paths)
+            )
+            for one in update.services
+        },
     )
 
 
--- a/src/quetzalgauge/gateway.py
+++ b/src/quetzalgauge/gateway.py
@@ -230,15 +230,23 @@
     def _resolve(self, call: _Call) -> tuple[refusals.Code, str] | None:
         name = call.request.name
         if call.request.kind is calls.Kind.PLAIN:
-            if ids.ServiceName(name) not in self._table.service_targets:
-                return refusals.Code.UNKNOWN_SERVICE, f"no service {name!r}"
-            return None
+            return self._resolve_service(call, ids.ServiceName(name))
         found = self._table.resolve(name)
         if found is None:
             return refusals.Code.UNKNOWN_MODEL, f"no model {name!r}"
         call.servable, call.adapter = found
         return None
 
+    def _resolve_service(
+        self, call: _Call, name: ids.ServiceName
+    ) -> tuple[refusals.Code, str] | None:
+        paths = self._table.services.get(name)
+        if paths is None and name not in self._table.service_targets:
+            return refusals.Code.UNKNOWN_SERVICE, f"no service {name!r}"
+        if paths and call.request.path in paths:
+            call.request = dataclasses.replace(call.request, repeatable=True)
+        return None
+
     def _open_key(
         self, request: calls.Request
     ) -> tuple[refusals.Code, str] | None:
--- a/src/quetzalgauge/gen/Peer.py
+++ b/src/quetzalgauge/gen/Peer.py
@@ -420,11 +420,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.target_states = []
-                    (_etype153, _size150) = iprot.readListBegin()
-                    for _i154 in range(_size150):
-                        _elem155 = TargetState()
-                        _elem155.read(iprot)
-                        self.target_states.append(_elem155)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = TargetState()
+                        _elem169.read(iprot)
+                        self.target_states.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -445,8 +445,8 @@
         if self.target_states is not None:
             oprot.writeFieldBegin('target_states', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.target_states))
-            for iter156 in self.target_states:
-                iter156.write(oprot)
+            for iter170 in self.target_states:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -580,11 +580,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = Demand()
-                        _elem162.read(iprot)
-                        self.demands.append(_elem162)
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = Demand()
+                        _elem176.read(iprot)
+                        self.demands.append(_elem176)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -601,8 +601,8 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter163 in self.demands:
-                iter163.write(oprot)
+            for iter177 in self.demands:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/quetzalgauge/gen/ttypes.py
+++ b/src/quetzalgauge/gen/ttypes.py
@@ -2306,6 +2306,106 @@
         return not (self == other)
 
 
+class ServiceEntry(object):
+    """
+    Attributes:
+     - service_name
+     - repeatable_paths
+     - removed
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'repeatable_paths',
+        'removed',
+    )
+
+
+    def __init__(self, service_name=None, repeatable_paths=None, removed=None,):
+        self.service_name = service_name
+        self.repeatable_paths = repeatable_paths
+        self.removed = removed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.repeatable_paths = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.repeatable_paths.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.removed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceEntry')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.repeatable_paths is not None:
+            oprot.writeFieldBegin('repeatable_paths', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.repeatable_paths))
+            for iter57 in self.repeatable_paths:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.removed is not None:
+            oprot.writeFieldBegin('removed', TType.BOOL, 3)
+            oprot.writeBool(self.removed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Replica(object):
     """
     Attributes:
@@ -2575,6 +2675,7 @@
      - models
      - adapters
      - log_reachable
+     - services
 
     """
 
@@ -2588,10 +2689,11 @@
         'models',
         'adapters',
         'log_reachable',
+        'services',
     )
 
 
-    def __init__(self, routes_version=None, catalog_version=None, routes_changed=None, replicas=None, service_targets=None, catalog_complete=None, models=None, adapters=None, log_reachable=None,):
+    def __init__(self, routes_version=None, catalog_version=None, routes_changed=None, replicas=None, service_targets=None, catalog_complete=None, models=None, adapters=None, log_reachable=None, services=None,):
         self.routes_version = routes_version
         self.catalog_version = catalog_version
         self.routes_changed = routes_changed
@@ -2601,6 +2703,7 @@
         self.models = models
         self.adapters = adapters
         self.log_reachable = log_reachable
+        self.services = services
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2629,22 +2732,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.replicas = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = Replica()
-                        _elem56.read(iprot)
-                        self.replicas.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = Replica()
+                        _elem63.read(iprot)
+                        self.replicas.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.service_targets = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = ServiceTarget()
-                        _elem62.read(iprot)
-                        self.service_targets.append(_elem62)
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = ServiceTarget()
+                        _elem69.read(iprot)
+                        self.service_targets.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2656,22 +2759,22 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.models = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = ModelEntry()
-                        _elem68.read(iprot)
-                        self.models.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = ModelEntry()
+                        _elem75.read(iprot)
+                        self.models.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.adapters = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = AdapterEntry()
-                        _elem74.read(iprot)
-                        self.adapters.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = AdapterEntry()
+                        _elem81.read(iprot)
+                        self.adapters.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2680,6 +2783,17 @@
                     self.log_reachable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = ServiceEntry()
+                        _elem87.read(iprot)
+                        self.services.append(_elem87)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2705,15 +2819,15 @@
         if self.replicas is not None:
             oprot.writeFieldBegin('replicas', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.replicas))
-            for iter75 in self.replicas:
-                iter75.write(oprot)
+            for iter88 in self.replicas:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_targets is not None:
             oprot.writeFieldBegin('service_targets', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.service_targets))
-            for iter76 in self.service_targets:
-                iter76.write(oprot)
+            for iter89 in self.service_targets:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.catalog_complete is not None:
@@ -2723,21 +2837,28 @@
         if self.models is not None:
             oprot.writeFieldBegin('models', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.models))
-            for iter77 in self.models:
-                iter77.write(oprot)
+            for iter90 in self.models:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.adapters is not None:
             oprot.writeFieldBegin('adapters', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.adapters))
-            for iter78 in self.adapters:
-                iter78.write(oprot)
+            for iter91 in self.adapters:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.log_reachable is not None:
             oprot.writeFieldBegin('log_reachable', TType.BOOL, 9)
             oprot.writeBool(self.log_reachable)
             oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.services))
+            for iter92 in self.services:
+                iter92.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2809,11 +2930,11 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.headers = {}
-                    (_ktype80, _vtype81, _size79) = iprot.readMapBegin()
-                    for _i83 in range(_size79):
-                        _key84 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers[_key84] = _val85
+                    (_ktype94, _vtype95, _size93) = iprot.readMapBegin()
+                    for _i97 in range(_size93):
+                        _key98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers[_key98] = _val99
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2843,9 +2964,9 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
-            for kiter86, viter87 in self.headers.items():
-                oprot.writeString(kiter86.encode('utf-8') if sys.version_info[0] == 2 else kiter86)
-                oprot.writeString(viter87.encode('utf-8') if sys.version_info[0] == 2 else viter87)
+            for kiter100, viter101 in self.headers.items():
+                oprot.writeString(kiter100.encode('utf-8') if sys.version_info[0] == 2 else kiter100)
+                oprot.writeString(viter101.encode('utf-8') if sys.version_info[0] == 2 else viter101)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -3175,11 +3296,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.replicas = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = Replica()
-                        _elem93.read(iprot)
-                        self.replicas.append(_elem93)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = Replica()
+                        _elem107.read(iprot)
+                        self.replicas.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3191,10 +3312,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.cached = []
-                    (_etype97, _size94) = iprot.readListBegin()
-                    for _i98 in range(_size94):
-                        _elem99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.cached.append(_elem99)
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.cached.append(_elem113)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3223,8 +3344,8 @@
         if self.replicas is not None:
             oprot.writeFieldBegin('replicas', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.replicas))
-            for iter100 in self.replicas:
-                iter100.write(oprot)
+            for iter114 in self.replicas:
+                iter114.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unreserved_bytes is not None:
@@ -3234,8 +3355,8 @@
         if self.cached is not None:
             oprot.writeFieldBegin('cached', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.cached))
-            for iter101 in self.cached:
-                oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
+            for iter115 in self.cached:
+                oprot.writeString(iter115.encode('utf-8') if sys.version_info[0] == 2 else iter115)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3396,33 +3517,33 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.next_offsets = {}
-                    (_ktype103, _vtype104, _size102) = iprot.readMapBegin()
-                    for _i106 in range(_size102):
-                        _key107 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val108 = iprot.readI64()
-                        self.next_offsets[_key107] = _val108
+                    (_ktype117, _vtype118, _size116) = iprot.readMapBegin()
+                    for _i120 in range(_size116):
+                        _key121 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val122 = iprot.readI64()
+                        self.next_offsets[_key121] = _val122
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.target_sequences = {}
-                    (_ktype110, _vtype111, _size109) = iprot.readMapBegin()
-                    for _i113 in range(_size109):
-                        _key114 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val115 = iprot.readI64()
-                        self.target_sequences[_key114] = _val115
+                    (_ktype124, _vtype125, _size123) = iprot.readMapBegin()
+                    for _i127 in range(_size123):
+                        _key128 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val129 = iprot.readI64()
+                        self.target_sequences[_key128] = _val129
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = LeavingTarget()
-                        _elem121.read(iprot)
-                        self.leaving.append(_elem121)
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = LeavingTarget()
+                        _elem135.read(iprot)
+                        self.leaving.append(_elem135)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3452,24 +3573,24 @@
         if self.next_offsets is not None:
             oprot.writeFieldBegin('next_offsets', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.next_offsets))
-            for kiter122, viter123 in self.next_offsets.items():
-                oprot.writeString(kiter122.encode('utf-8') if sys.version_info[0] == 2 else kiter122)
-                oprot.writeI64(viter123)
+            for kiter136, viter137 in self.next_offsets.items():
+                oprot.writeString(kiter136.encode('utf-8') if sys.version_info[0] == 2 else kiter136)
+                oprot.writeI64(viter137)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.target_sequences is not None:
             oprot.writeFieldBegin('target_sequences', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.target_sequences))
-            for kiter124, viter125 in self.target_sequences.items():
-                oprot.writeString(kiter124.encode('utf-8') if sys.version_info[0] == 2 else kiter124)
-                oprot.writeI64(viter125)
+            for kiter138, viter139 in self.target_sequences.items():
+                oprot.writeString(kiter138.encode('utf-8') if sys.version_info[0] == 2 else kiter138)
+                oprot.writeI64(viter139)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter126 in self.leaving:
-                iter126.write(oprot)
+            for iter140 in self.leaving:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.log_reachable is not None:
@@ -3540,28 +3661,28 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.records = {}
-                    (_ktype128, _vtype129, _size127) = iprot.readMapBegin()
-                    for _i131 in range(_size127):
-                        _key132 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val133 = []
-                        (_etype137, _size134) = iprot.readListBegin()
-                        for _i138 in range(_size134):
-                            _elem139 = LogRecord()
-                            _elem139.read(iprot)
-                            _val133.append(_elem139)
+                    (_ktype142, _vtype143, _size141) = iprot.readMapBegin()
+                    for _i145 in range(_size141):
+                        _key146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val147 = []
+                        (_etype151, _size148) = iprot.readListBegin()
+                        for _i152 in range(_size148):
+                            _elem153 = LogRecord()
+                            _elem153.read(iprot)
+                            _val147.append(_elem153)
                         iprot.readListEnd()
-                        self.records[_key132] = _val133
+                        self.records[_key146] = _val147
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.target_states = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = TargetState()
-                        _elem145.read(iprot)
-                        self.target_states.append(_elem145)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = TargetState()
+                        _elem159.read(iprot)
+                        self.target_states.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3582,19 +3703,19 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.records))
-            for kiter146, viter147 in self.records.items():
-                oprot.writeString(kiter146.encode('utf-8') if sys.version_info[0] == 2 else kiter146)
-                oprot.writeListBegin(TType.STRUCT, len(viter147))
-                for iter148 in viter147:
-                    iter148.write(oprot)
+            for kiter160, viter161 in self.records.items():
+                oprot.writeString(kiter160.encode('utf-8') if sys.version_info[0] == 2 else kiter160)
+                oprot.writeListBegin(TType.STRUCT, len(viter161))
+                for iter162 in viter161:
+                    iter162.write(oprot)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.target_states is not None:
             oprot.writeFieldBegin('target_states', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.target_states))
-            for iter149 in self.target_states:
-                iter149.write(oprot)
+            for iter163 in self.target_states:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3783,6 +3904,13 @@
     (2, TType.STRING, 'model', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'removed', None, None, ),  # 3
 )
+all_structs.append(ServiceEntry)
+ServiceEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'repeatable_paths', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.BOOL, 'removed', None, None, ),  # 3
+)
 all_structs.append(Replica)
 Replica.thrift_spec = (
     None,  # 0
@@ -3815,6 +3943,7 @@
     (7, TType.LIST, 'models', (TType.STRUCT, [ModelEntry, None], False), None, ),  # 7
     (8, TType.LIST, 'adapters', (TType.STRUCT, [AdapterEntry, None], False), None, ),  # 8
     (9, TType.BOOL, 'log_reachable', None, None, ),  # 9
+    (10, TType.LIST, 'services', (TType.STRUCT, [ServiceEntry, None], False), None, ),  # 10
 )
 all_structs.append(KeyOutcome)
 KeyOutcome.thrift_spec = (
--- a/src/quetzalgauge/parsing.py
+++ b/src/quetzalgauge/parsing.py
@@ -282,6 +282,7 @@
         deadline,
         None if key is None else _hash_key(service, key),
         _digest(method, uri, body),
+        "/" + path.partition("?")[0],
     )
     headers = {}
     named = (_header(req, b"Connection") or "").lower().split(",")
--- a/src/quetzalgauge/routes.py
+++ b/src/quetzalgauge/routes.py
@@ -53,6 +53,10 @@
                 for name, adapter in changes.adapters.items()
             ],
             log_reachable=ctx.reading.is_reachable,
+            services=[
+                _service_entry(name, service)
+                for name, service in changes.services.items()
+            ],
         )
 
     def _build(self) -> None:
@@ -96,6 +100,14 @@
     )
 
 
+def _service_entry(name: str, service: Any) -> Any:
+    return ttypes.ServiceEntry(
+        service_name=name,
+        repeatable_paths=[] if service is None else service.repeatable_paths,
+        removed=service is None,
+    )
+
+
 def _adapter_entry(name: str, adapter: Any) -> Any:
     if adapter is None:
         return ttypes.AdapterEntry(adapter=name, model="", removed=True)
--- a/src/quetzalgauge/routetable.py
+++ b/src/quetzalgauge/routetable.py
@@ -22,6 +22,7 @@
         service_targets: Targets by plain service.
         models: The catalog's models.
         adapters: The model of each adapter.
+        services: Repeatable paths of each plain service of the catalog.
         routes_version: 0 if no routes were received yet.
         catalog_version: 0 if no catalog was received yet.
         received_at: Time of the routes, for `ready_in` of replicas.
@@ -35,6 +36,7 @@
         ] = {}
         self.models: dict[ids.ModelName, calls.Model] = {}
         self.adapters: dict[ids.AdapterName, ids.ModelName] = {}
+        self.services: dict[ids.ServiceName, frozenset[str]] = {}
         self.routes_version = 0
         self.catalog_version = 0
         self.received_at = datetime.timedelta()
@@ -152,6 +154,7 @@
         if event.catalog_complete:
             self.models.clear()
             self.adapters.clear()
+            self.services.clear()
         for name, model in event.models.items():
             if model is None:
                 self.models.pop(name, None)
@@ -162,3 +165,8 @@
                 self.adapters.pop(adapter, None)
             else:
                 self.adapters[adapter] = of_model
+        for service, paths in event.services.items():
+            if paths is None:
+                self.services.pop(service, None)
+            else:
+                self.services[service] = paths
--- a/src/quetzalgauge/services.py
+++ b/src/quetzalgauge/services.py
@@ -135,6 +135,7 @@
             models=[],
             adapters=[],
             log_reachable=answered.log_reachable,
+            services=[],
         )
 
     def _remember(self, entry: str, update: Any) -> None:
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -222,6 +222,7 @@
         self.claims: list[int] = []
         self.outcomes: dict[int, Any] = {}
         self.key_decision = ttypes.KeyDecision.RUN
+        self.services: list[Any] = []
         self.adapter_decision = ttypes.AdapterDecision.RESIDENT
         self.adapter_calls: list[tuple[str, str]] = []
         self.reports: list[Any] = []
@@ -254,6 +255,7 @@
             models=self.models if complete else [],
             adapters=self.adapters if complete else [],
             log_reachable=True,
+            services=self.services if complete else [],
         )
 
     def claim_key(self, entry: str, key: int, timeout_s: float) -> Any:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -411,3 +411,54 @@
     world.gateway.step(calls.CallEnded(2), ZERO)
     actions = arrive(3, "digest-a")
     assert not any(isinstance(one, calls.Refuse) for one in actions)
+
+
+def _arrive_at_service(
+    world: World, token: int, service: str, path: str
+) -> list:
+    request = calls.Request(
+        ids.RequestId(f"r-{token}"),
+        calls.Kind.PLAIN,
+        service,
+        False,
+        False,
+        None,
+        seconds(60),
+        path=path,
+    )
+    return world.gateway.step(calls.Arrived(token, request), ZERO)
+
+
+def _publish_services(world: World, services: dict) -> None:
+    world.send_routes()
+    world.gateway.step(
+        calls.RoutesReceived(
+            world.version, 2, None, None, False, {}, {}, True, services
+        ),
+        ZERO,
+    )
+
+
+def test_repeatable_path_is_sent_again_and_others_are_not():
+    """Guards against a ticket's repeatable_paths without effect."""
+    cases = (("/standings", True), ("/standings/1", False), ("/book", False))
+    for path, is_repeated in cases:
+        world = World(0)
+        _publish_services(world, {"desk": frozenset(["/standings"])})
+        actions = _arrive_at_service(world, 1, "desk", path)
+        if isinstance(actions[0], calls.Open):
+            actions = world.gateway.step(calls.Opened(1), ZERO)
+        assert isinstance(actions[0], calls.Send)
+        ended = calls.AttemptEnded(1, retries.Failure.CUT)
+        (after,) = world.gateway.step(ended, ZERO)
+        assert isinstance(after, calls.Refuse) is not is_repeated
+
+
+def test_service_without_targets_is_away_and_not_unknown():
+    """Guards against 404 for a configured service whose targets are gone."""
+    world = World(0)
+    _publish_services(world, {"archive": frozenset()})
+    (refused,) = _arrive_at_service(world, 1, "archive", "/")
+    assert refused.refusal.code is refusals.Code.NO_TARGET
+    (refused,) = _arrive_at_service(world, 2, "nowhere", "/")
+    assert refused.refusal.code is refusals.Code.UNKNOWN_SERVICE
