--- a/tests/test_standin_store.py
+++ b/tests/test_standin_store.py
@@ -56,6 +56,7 @@
 
 
 def test_adapters_beyond_thirty_take_proportionally_longer(make_store):
+    store = make_store(threads=70, adapter_time=0.5)
     few = fetch_all(store, ["/adapters/a"] * 10)
     start = time.monotonic()
     fetch_all(store, ["/adapters/a"] * 60)
