Answer 304 for an unchanged region of the instance list

Cause: each control process reads the whole instance list every second, by estimate 500 KB/s at the target size of 1,890 entries. Ruled out: a longer interval, since a leaving target must get no new work after a few seconds. The fake platform of test_control compared the whole path and now takes the query into account.

--- a/src/quetzalgauge/control.py
+++ b/src/quetzalgauge/control.py
@@ -385,7 +385,7 @@
 
     def _poll_list(self) -> None:
         client = instancelist.InstanceListClient(
-            self._settings.instance_list_url
+            self._settings.instance_list_url, self._settings.region
         )
         failing = False
         while not self._stopping.wait(LIST_INTERVAL.total_seconds()):
--- a/src/quetzalgauge/instancelist.py
+++ b/src/quetzalgauge/instancelist.py
@@ -2,6 +2,7 @@
 
 import datetime
 from typing import Any
+import urllib.parse
 
 from quetzalgauge import exceptions
 from quetzalgauge import fields
@@ -14,10 +15,20 @@
 
 
 class InstanceListClient:
-    """One connection to the instance list, owned by one task."""
+    """One connection to the instance list, owned by one task.
 
-    def __init__(self, url: str) -> None:
+    Args:
+        url: Root of the instance list service.
+        region: Ask for the entries of one region; empty for all. A server
+            that does not know the parameter answers with all regions.
+    """
+
+    def __init__(self, url: str, region: str = "") -> None:
         self._connection = httpclient.Connection(url)
+        self._path = "/instances"
+        if region:
+            query = urllib.parse.urlencode({"region": region})
+            self._path += f"?{query}"
         self._data = b""
         self._tag = ""
         self._instances: tuple[messages.ListedInstance, ...] = ()
@@ -40,7 +51,7 @@
         """
         headers = {"If-None-Match": self._tag} if self._tag else {}
         answer = self._connection.call(
-            "GET", "/instances", TIMEOUT, headers=headers
+            "GET", self._path, TIMEOUT, headers=headers
         )
         if answer.status == 304 and self._tag:
             return self._instances
--- a/src/quetzalgauge/standin_instances.py
+++ b/src/quetzalgauge/standin_instances.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Callable
+import hashlib
+import json
 import threading
 import time
 from typing import Any
@@ -52,7 +54,7 @@
     def handle(self, request: standin_http.Request) -> standin_http.Response:
         """Answers a call."""
         if request.path == "/instances" and request.method == "GET":
-            return self._list()
+            return self._list(request)
         if request.method != "POST":
             return standin_http.make_json_response(404, {"code": "not_found"})
         try:
@@ -65,7 +67,8 @@
         ) as error:
             return standin_http.make_json_response(400, {"message": str(error)})
 
-    def _list(self) -> standin_http.Response:
+    def _list(self, request: standin_http.Request) -> standin_http.Response:
+        region = request.query.get("region", "")
         shown_at = time.monotonic() - self._lag_seconds
         with self._lock:
             self._reads += 1
@@ -73,8 +76,18 @@
             for made_at, version in self._versions:
                 if made_at <= shown_at:
                     shown = version
-            entries = [entry.model_dump() for entry in shown.values()]
-        return standin_http.make_json_response(200, {"instances": entries})
+            entries = [
+                entry.model_dump()
+                for entry in shown.values()
+                if region in ("", entry.region)
+            ]
+        data = json.dumps(entries, sort_keys=True).encode()
+        tag = f'"{hashlib.blake2b(data, digest_size=16).hexdigest()}"'
+        if request.headers.get("if-none-match") == tag:
+            return standin_http.Response(304, [], {"ETag": tag})
+        return standin_http.make_json_response(
+            200, {"instances": entries}, {"ETag": tag}
+        )
 
     def _control(self, request: standin_http.Request) -> standin_http.Response:
         with self._lock:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -52,7 +52,7 @@
         self.release = threading.Event()
 
     def answer(self, _, path, *__):
-        if path == "/instances":
+        if path.partition("?")[0] == "/instances":
             target = _TARGET | {"address": self.address}
             return 200, {"instances": [target]}
         if path == "/status":
--- a/tests/test_instancelist.py
+++ b/tests/test_instancelist.py
@@ -88,6 +88,19 @@
         assert client.fetch() is client.fetch()
 
 
+def test_a_region_is_asked_for():
+    """Guards against fetching the entries of all regions."""
+    paths = []
+
+    def answer(_method, path, *_):
+        paths.append(path)
+        return 200, {"instances": []}
+
+    with stubs.run_http_server(answer) as address:
+        instancelist.InstanceListClient(f"http://{address}", "a b").fetch()
+    assert paths == ["/instances?region=a+b"]
+
+
 def test_a_silent_or_failing_list_ends_the_call(monkeypatch):
     """Guards against a half-open connection that blocks the task."""
     timeout = datetime.timedelta(milliseconds=200)
--- a/tests/test_standin_instances.py
+++ b/tests/test_standin_instances.py
@@ -5,17 +5,18 @@
 import pytest
 import urllib3
 
+from quetzalgauge import instancelist
 from quetzalgauge import standin_instances
 from quetzalgauge import standin_settings
 
 
-def make_entry(name):
+def make_entry(name, region="region"):
     return standin_settings.ListedInstance(
         instance=name,
         kind="target",
         address="127.0.0.1:1",
         availability_zone="zone",
-        region="region",
+        region=region,
     )
 
 
@@ -68,3 +69,25 @@
     assert "lm-1" in states(part)
     time.sleep(0.35)
     assert "lm-1" not in states(part)
+
+
+def test_an_unchanged_region_is_answered_304(make_list):
+    """Guards against whole lists each second, and against a stale 304."""
+    part = make_list()
+    client = instancelist.InstanceListClient(part.server.url, "region")
+    first = client.fetch()
+    elsewhere = make_entry("lm-8", "other-region").model_dump()
+    control(part, "register", **elsewhere)
+    assert client.fetch() is first
+    control(part, "register", **make_entry("lm-9").model_dump())
+    names = [entry.instance for entry in client.fetch()]
+    assert names == ["lm-1", "lm-2", "lm-9"]
+    url = part.server.url + "/instances?region=region"
+    answer = urllib3.request("GET", url)
+    headers = {"If-None-Match": answer.headers["ETag"]}
+    repeated = urllib3.request("GET", url, headers=headers)
+    assert (repeated.status, repeated.data) == (304, b"")
+    control(part, "remove", instance="lm-9")
+    changed = urllib3.request("GET", url, headers=headers)
+    assert changed.status == 200
+    assert changed.headers["ETag"] != answer.headers["ETag"]
