Mark the tests that prove a cell of the fault matrix

Cause: the matrix had one cell, although many tests bring a fault about at a named step. Ruled out: marks on tests that only resemble a fault, such as a deadline or a refused body. The change: each mark names a fault that the test itself brings about, and an invariant or a recovery that it checks.

--- a/tests/test_appends.py
+++ b/tests/test_appends.py
@@ -184,6 +184,9 @@
 _SEARCH = hypothesis.settings(_SETTINGS, phases=[hypothesis.Phase.generate])
 
 
+@pytest.mark.covers("lost acknowledgement", "lease change")
+@pytest.mark.covers("duplicate", "lease change")
+@pytest.mark.covers("reorder", "lease change")
 def test_lost_answers_and_late_copies_have_no_second_effect():
     """Guards against lost, repeated or reordered records of a writer."""
     stateful.run_state_machine_as_test(_AppendMachine, settings=_SETTINGS)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -136,6 +136,7 @@
     assert len(target.received) == 1
 
 
+@pytest.mark.covers("half-open connection", "request")
 def test_silent_booking_ends_and_makes_the_target_suspect(world):
     """Guards against a half-open connection that blocks a caller."""
     entry, _, target, _ = world
@@ -151,6 +152,7 @@
     assert len(target.received) == 1
 
 
+@pytest.mark.covers("reorder", "request")
 def test_late_answer_does_not_reach_another_request(world):
     """Guards against crossed answers on an abandoned connection."""
     entry, _, target, _ = world
@@ -168,6 +170,7 @@
     assert first not in others
 
 
+@pytest.mark.covers("duplicate", "request")
 def test_surplus_answer_does_not_reach_the_next_request(world):
     """Guards against an answer that waits on an idle connection."""
     entry, _, target, _ = world
@@ -182,6 +185,7 @@
     assert entry.complete("single").body == b'"next"'
 
 
+@pytest.mark.covers("half-open connection", "request")
 @pytest.mark.parametrize("fault", ["cut", "silent"])
 def test_idle_connection_that_failed_is_replaced(world, fault):
     """Guards against a failure although new connections work."""
@@ -323,6 +327,7 @@
     assert read_stream(entry) == EVENTS + entry_fakes.DONE
 
 
+@pytest.mark.covers("half-open connection", "request")
 def test_silent_stream_ends_with_an_error(world):
     """Guards against a stream that hangs on a half-open connection."""
     entry, _, target, _ = world
@@ -430,6 +435,7 @@
     )
 
 
+@pytest.mark.covers("duplicate", "request")
 def test_keyed_booking_runs_once_and_is_answered_from_store(world):
     """Guards against a second booking by a caller's second try."""
     entry, _, target, _ = world
@@ -443,6 +449,7 @@
     assert len(target.received) == 1
 
 
+@pytest.mark.covers("lost acknowledgement", "request")
 def test_keyed_booking_of_unknown_outcome_is_not_repeated(world):
     """Guards against a second booking after a lost answer."""
     entry, _, target, _ = world
@@ -454,6 +461,7 @@
     assert len(target.received) == 1
 
 
+@pytest.mark.covers("log outage", "request")
 def test_keyed_booking_without_the_log_is_refused(world):
     """Guards against a booking that no other instance knows of."""
     entry, control, target, _ = world
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -45,6 +45,7 @@
     return catalog, [status.verdict for status in statuses], statuses
 
 
+@pytest.mark.covers("duplicate", "ticket")
 def test_verdicts_of_the_design():
     """Guards against a verdict that differs from design section 3.5."""
     _, verdicts, statuses = _fold(
@@ -76,6 +77,7 @@
     assert first.findings == ()
 
 
+@pytest.mark.covers("reorder", "ticket")
 @pytest.mark.parametrize("order", list(itertools.permutations(range(4))))
 def test_the_highest_number_wins_in_any_order(order):
     """Guards against an old ticket that reverts a newer one."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -267,6 +267,8 @@
         assert running.process.wait(20) == 1
 
 
+@pytest.mark.covers("log outage", "start")
+@pytest.mark.covers("log outage", "drain")
 def test_the_process_runs_and_drains_without_its_platform(tmp_path):
     """Guards against a start or a stop that waits for the platform."""
     with (
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -159,6 +159,7 @@
         caller.join()
 
 
+@pytest.mark.covers("crash", "request")
 def test_absent_control_interrupts_nothing(started, targets):
     """Guards against routes or streams that end with the control process."""
     entry, control = started
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,6 +1,7 @@
 """What control processes learn from peers when the log or messages fail."""
 
 import control_fakes
+import pytest
 
 from quetzalgauge import ids
 from quetzalgauge import messages
@@ -23,6 +24,7 @@
     return world.controllers[name].dump()["offsets"]
 
 
+@pytest.mark.covers("cut", "load")
 def test_views_agree_after_lost_news():
     """Guards against a route that one instance never learns."""
     world = make_world()
@@ -59,6 +61,7 @@
     assert not any(a.target_states for a in seen)
 
 
+@pytest.mark.covers("cut", "ticket")
 def test_instances_that_disagree_about_the_log():
     """Guards against an instance that misses tickets its peers have read."""
     world = make_world()
@@ -72,6 +75,7 @@
     world.run_until(lambda: world.ready("node-2", "other"), 10)
 
 
+@pytest.mark.covers("cut", "lease change")
 def test_cut_off_holder_learns_that_it_was_superseded():
     """Guards against a holder that goes on for ever without the log."""
     world = make_world(instances=2)
@@ -82,6 +86,7 @@
     assert not world.controllers[cut]._leases.held()
 
 
+@pytest.mark.covers("log outage", "start")
 def test_new_instance_starts_while_the_log_is_down():
     """Guards against an instance without routes during an outage."""
     world = make_world()
@@ -98,6 +103,7 @@
     assert world.controllers["node-7"].is_ready
 
 
+@pytest.mark.covers("log outage", "start")
 def test_all_instances_restart_while_the_log_is_down():
     """Guards against loaded replicas that nobody routes to."""
     world = make_world(instances=1)
@@ -157,6 +163,8 @@
         assert world.controllers[name].dump()["leaving"] == []
 
 
+@pytest.mark.covers("crash", "load")
+@pytest.mark.covers("log outage", "load")
 def test_load_ends_while_its_holder_is_dead_and_the_log_down():
     """Guards against a replica that stays "loading" without its holder."""
     world = make_world()
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -41,6 +41,7 @@
     world._pump()
 
 
+@pytest.mark.covers("duplicate", "request")
 def test_first_claim_runs_and_the_second_gets_its_outcome(world):
     """Guards against a booking that runs at two instances."""
     claim(world, "node-0", 7, "a")
@@ -56,6 +57,7 @@
     assert decisions(world, "c") == [STORED]
 
 
+@pytest.mark.covers("duplicate", "request")
 def test_claims_at_once_let_one_run(world):
     """Guards against two winners when claims cross in the log."""
     for name in world.controllers:
@@ -67,6 +69,7 @@
     assert sorted(found) == sorted([RUN] + [UNKNOWN] * 3)
 
 
+@pytest.mark.covers("crash", "request")
 def test_outcome_of_a_restarted_process_is_unknown(world):
     """Guards against a second run after the outcome was lost."""
     claim(world, "node-0", 7, "a")
@@ -77,6 +80,7 @@
     assert decisions(world, "b", "c") == [UNKNOWN, UNKNOWN]
 
 
+@pytest.mark.covers("log outage", "request")
 def test_without_the_log_nothing_runs(world):
     """Guards against a keyed request that runs without a claim."""
     world.log_is_down = True
@@ -85,6 +89,7 @@
     assert decisions(world, "a") == [UNAVAILABLE]
 
 
+@pytest.mark.covers("lost acknowledgement", "request")
 def test_lost_acknowledgement_of_a_claim(world):
     """Guards against a claim that counts twice, or for nobody."""
     lost = []
@@ -103,6 +108,7 @@
     assert "b" not in world.replies
 
 
+@pytest.mark.covers("cut", "request")
 def test_a_claim_that_was_given_up_is_released(world):
     """Guards against a key that is blocked by a request that never ran."""
     world.cut.add("node-0")
@@ -116,6 +122,7 @@
     assert decisions(world, "b") == [RUN]
 
 
+@pytest.mark.covers("lost acknowledgement", "request")
 def test_a_late_claim_never_runs_after_it_was_given_up(world):
     """Guards against "not run" for a request that runs later.
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -60,6 +60,9 @@
     assert held == [world.holder(target) for target in world.targets]
 
 
+@pytest.mark.covers("pause beyond the lease", "load")
+@pytest.mark.covers("pause beyond the lease", "lease change")
+@pytest.mark.covers("reorder", "load")
 @pytest.mark.parametrize("checks", [True, False])
 def test_late_load_of_a_paused_holder(checks):
     """Guards against a slot that is loaded twice by a holder that woke up."""
@@ -95,6 +98,8 @@
     world.run_until(lambda: world.loaded("other"))
 
 
+@pytest.mark.covers("crash", "load")
+@pytest.mark.covers("reclaimed instance", "lease change")
 def test_killed_holder_on_a_target_that_ignores_numbers():
     """Guards against a release before a dead holder's orders have ended."""
     world = make_world(checks=False)
@@ -130,6 +135,9 @@
     assert world.targets["lm-0"].loads.total() == 1
 
 
+@pytest.mark.covers("lost acknowledgement", "lease change")
+@pytest.mark.covers("lost acknowledgement", "start")
+@pytest.mark.covers("lost acknowledgement", "drain")
 @pytest.mark.parametrize(
     "kind",
     [
@@ -182,6 +190,8 @@
     assert len(world.loaded()) == 1
 
 
+@pytest.mark.covers("half-open connection", "load")
+@pytest.mark.covers("reorder", "load")
 @pytest.mark.parametrize("checks", [True, False])
 def test_restarted_target_with_orders_in_flight(checks):
     """Guards against a registration that a late order could overtake."""
@@ -225,6 +235,8 @@
     assert not accepted(world, records.TargetGone)
 
 
+@pytest.mark.covers("crash", "lease change")
+@pytest.mark.covers("log outage", "lease change")
 def test_log_down_while_a_holder_dies():
     """Guards against a takeover without the log, or none after it."""
     world = make_world()
@@ -244,6 +256,7 @@
     assert world.ready(survivor, "report-0") == ["lm-0"]
 
 
+@pytest.mark.covers("log outage", "lease change")
 def test_an_outage_of_the_log_moves_no_lease():
     """Guards against takeovers of living holders when the log comes back."""
     world = make_world(instances=3, targets=3)
@@ -276,6 +289,7 @@
     assert world.targets["lm-0"].loads.total() == 1
 
 
+@pytest.mark.covers("half-open connection", "drain")
 def test_drain_waits_for_an_order_without_answer():
     """Guards against a closure while an own order may still act."""
     world = make_world(checks=False)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -428,6 +428,7 @@
     stateful.run_state_machine_as_test(machine, settings=settings)
 
 
+@pytest.mark.covers("duplicate", "lease change")
 def test_the_fold_agrees_with_the_naive_version(monkeypatch):
     """Guards against any rule that differs, and against broken invariants."""
     monkeypatch.setattr(ledger_module, "KEY_CLAIM_LIMIT", _KEY_LIMIT)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -219,6 +219,7 @@
     assert not target.models
 
 
+@pytest.mark.covers("reclaimed instance", "load")
 def test_target_reclaimed_during_a_burst():
     """Guards against a burst that finds no replica after a reclaim."""
     models = {f"model-{i}": {"mib": 400, "most": 2} for i in range(3)}
@@ -264,6 +265,7 @@
     assert shares == [2, 1, 1]
 
 
+@pytest.mark.covers("log outage", "load")
 def test_log_down_while_a_model_is_cold():
     """Guards against a cold start that needs the log."""
     world = make_world(instances=3)
@@ -275,6 +277,7 @@
     assert len(world.loaded()) == 1
 
 
+@pytest.mark.covers("log outage", "drain")
 def test_log_down_while_a_target_leaves():
     """Guards against a slot that is loaded twice without the log."""
     world = make_world()
@@ -291,6 +294,8 @@
     world.run_until(lambda: world.ready("node-0", "report"), 10)
 
 
+@pytest.mark.covers("cut", "load")
+@pytest.mark.covers("cut", "ticket")
 def test_cut_off_zone_with_one_instance():
     """Guards against a cut-off zone that cannot load its reserved slots."""
     world = make_world(instances=1, targets=1)
@@ -408,6 +413,7 @@
         assert [name for name, _ in world.loaded()] == [own]
 
 
+@pytest.mark.covers("cut", "load")
 def test_zone_serves_itself_when_the_chosen_zone_does_not_answer():
     """Guards against requests that wait for a holder out of reach."""
     world = make_region()
@@ -429,6 +435,7 @@
         assert own in [target for target, _ in world.loaded()]
 
 
+@pytest.mark.covers("slow weight store", "load")
 def test_no_second_load_when_the_first_replica_has_just_become_ready():
     """Guards against a load in each other zone at the end of a slow load.
 
@@ -455,6 +462,7 @@
     assert len(world.loaded()) == 1
 
 
+@pytest.mark.covers("log outage", "load")
 def test_release_that_was_not_sent_does_not_block_a_load():
     """Guards against a cold slot that waits for the end of an outage."""
     world = make_world(instances=1, targets=1)
--- a/tests/test_process_targets.py
+++ b/tests/test_process_targets.py
@@ -19,6 +19,7 @@
         yield start
 
 
+@pytest.mark.covers("half-open connection", "request")
 def test_half_open_connection_before_and_during_a_booking(deploy):
     """A silent connection must neither lose nor repeat a booking."""
     deployment, callers = deploy(
@@ -57,6 +58,7 @@
     callers.check([deployments.ZONE])
 
 
+@pytest.mark.covers("half-open connection", "request")
 def test_half_open_connection_to_a_model_server(deploy):
     """Requests over silent connections are whole or refused in time."""
     deployment, callers = deploy(
@@ -82,6 +84,8 @@
     callers.check([deployments.ZONE])
 
 
+@pytest.mark.covers("lost acknowledgement", "load")
+@pytest.mark.covers("lost acknowledgement", "request")
 def test_lost_acknowledgements_during_a_cold_burst(deploy):
     """An append or order without an answer must have one effect."""
     deployment, callers = deploy(instances=2, engines_per_zone=2)
@@ -118,6 +122,8 @@
     callers.check([deployments.ZONE])
 
 
+@pytest.mark.covers("crash", "request")
+@pytest.mark.covers("reclaimed instance", "request")
 def test_model_server_killed_with_streams_in_progress(deploy):
     """Streams end with an error event; the model is loaded elsewhere."""
     deployment, callers = deploy(instances=2, engines_per_zone=2)
@@ -143,6 +149,7 @@
     callers.check([deployments.ZONE])
 
 
+@pytest.mark.covers("crash", "request")
 def test_entry_killed_with_a_keyed_booking_in_progress(deploy):
     """A second try elsewhere must not run the booking again."""
     deployment, callers = deploy(
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -31,6 +31,7 @@
     ]
 
 
+@pytest.mark.covers("crash", "load")
 def test_kill_of_each_control_process_in_the_middle_of_a_load(deploy):
     """A load must neither be forgotten nor be ordered a second time."""
     deployment, callers = deploy(
@@ -53,6 +54,10 @@
     callers.check([deployments.ZONE])
 
 
+@pytest.mark.covers("pause beyond the lease", "request")
+@pytest.mark.covers("pause beyond the lease", "load")
+@pytest.mark.covers("pause beyond the lease", "lease change")
+@pytest.mark.covers("slow weight store", "request")
 @pytest.mark.parametrize("checks_fencing", [True, False])
 def test_holder_paused_past_its_lease(deploy, checks_fencing):
     """The late orders of a paused holder must not break an invariant."""
@@ -94,6 +99,8 @@
     return dump["core"]["targets"][target]["holder"]
 
 
+@pytest.mark.covers("log outage", "load")
+@pytest.mark.covers("log outage", "request")
 def test_log_outage_during_a_cold_start(deploy):
     """Reserved slots are loaded without the log; keyed calls are refused."""
     deployment, callers = deploy(instances=2, engines_per_zone=2)
@@ -134,6 +141,8 @@
     loopback.wait_until(is_reserved, "slots reserved in advance")
 
 
+@pytest.mark.covers("cut", "load")
+@pytest.mark.covers("cut", "request")
 def test_zone_cut_off(deploy):
     """A zone without log, list and peers loads and serves its own models."""
     zones = (deployments.ZONE, "uy-south-b", "uy-south-c")
@@ -204,6 +213,7 @@
     callers.check([deployments.ZONE])
 
 
+@pytest.mark.covers("racing tickets", "ticket")
 def test_conflicting_tickets_at_two_instances(deploy):
     """Of two tickets with one number, exactly one may be accepted."""
     deployment, callers = deploy(instances=2, engines_per_zone=1)
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -37,6 +37,7 @@
     return status.verdict
 
 
+@pytest.mark.covers("duplicate", "ticket")
 def test_accepted_is_durable_and_known_to_all(world):
     """Guards against a ticket that only its receiver knows."""
     token = submit(world, "node-0", 1)
@@ -46,6 +47,7 @@
     assert verdict(world, submit(world, "node-1", 1)) is Verdict.REPEATED
 
 
+@pytest.mark.covers("racing tickets", "ticket")
 def test_racing_operators_get_one_winner(world):
     """Guards against two contents under one number."""
     world.log_is_down = True
@@ -69,6 +71,7 @@
     assert verdict(world, token) is Verdict.ACCEPTED
 
 
+@pytest.mark.covers("log outage", "ticket")
 def test_without_the_log_the_outcome_is_unknown(world):
     """Guards against an operator who waits for ever."""
     world.log_is_down = True
