Add a soak run with random examples

Cause: the generated tests draw the same examples each time; a longer run with other seeds had no command. Change: tests take their hypothesis settings from hypothesis_settings.py, which draws from a seed when tools/soak.py sets a factor; make soak SEED MINUTES.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint format demo fault-matrix bench report generate clean
+.PHONY: setup test lint format demo fault-matrix bench report soak generate clean
 
 setup: $(STAMP)
 
@@ -37,6 +37,11 @@
 report: setup
 	$(BIN)/python tools/policy_report.py
 
+SEED ?= 1
+MINUTES ?= 10
+soak: setup
+	$(BIN)/python tools/soak.py --seed $(SEED) --minutes $(MINUTES)
+
 # Needs the Debian package thrift-compiler. The result is committed, so that a
 # build needs no generator.
 generate:
--- /dev/null
+++ b/tests/hypothesis_settings.py
@@ -0,0 +1,24 @@
+"""Settings of hypothesis: fixed examples in CI, random ones in a soak run."""
+
+import os
+
+import hypothesis
+
+# Set by tools/soak.py together with a seed.
+_FACTOR = int(os.environ.get("QUETZALGAUGE_SOAK_FACTOR", "0"))
+_DEFAULT_EXAMPLES = 100
+
+
+def make(**options):
+    """Returns settings with the given options.
+
+    Without a soak run the examples are the same each time, so that CI gives the
+    same verdict. In a soak run they are drawn from the run's seed.
+    """
+    options.setdefault("deadline", None)
+    options.setdefault("max_examples", _DEFAULT_EXAMPLES)
+    options.pop("derandomize", None)
+    if not _FACTOR:
+        return hypothesis.settings(derandomize=True, **options)
+    options["max_examples"] *= _FACTOR
+    return hypothesis.settings(derandomize=False, database=None, **options)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,8 +3,8 @@
 import datetime
 
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies
+import hypothesis_settings
 
 from quetzalgauge import admission
 
@@ -63,7 +63,7 @@
     return high
 
 
-@settings(derandomize=True, deadline=None)
+@hypothesis_settings.make()
 @given(strategies.integers(0, 30), LOADS, SERVICE)
 def test_predicted_wait_equals_a_search_over_time(position, loads, service):
     """Guards against refusals that come too early or too late."""
@@ -75,7 +75,7 @@
         assert abs(found.total_seconds() - wanted) < 1e-4
 
 
-@settings(derandomize=True, deadline=None)
+@hypothesis_settings.make()
 @given(WAITING, strategies.data())
 def test_queue_equals_a_sorted_list(entries, data):
     """Guards against a request that is lost or served out of order."""
@@ -111,7 +111,7 @@
             return removed
 
 
-@settings(derandomize=True, deadline=None)
+@hypothesis_settings.make()
 @given(WAITING, LOADS, SERVICE)
 def test_hopeless_requests_equal_a_search_one_by_one(entries, loads, service):
     """Guards against a request that waits although it cannot be served."""
--- a/tests/test_appends.py
+++ b/tests/test_appends.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import hypothesis_settings
 import pytest
 
 from quetzalgauge import appends as appends_module
@@ -173,10 +174,9 @@
         self.each_record_has_one_effect()
 
 
-_SETTINGS = hypothesis.settings(
+_SETTINGS = hypothesis_settings.make(
     max_examples=150,
     stateful_step_count=30,
-    derandomize=True,
     deadline=None,
     report_multiple_bugs=False,
 )
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import hypothesis_settings
 import pytest
 
 from quetzalgauge import catalog as catalog_module
@@ -205,10 +206,9 @@
         assert _sizes(self.catalog) == self.expected()
 
 
-_SETTINGS = hypothesis.settings(
+_SETTINGS = hypothesis_settings.make(
     max_examples=60,
     stateful_step_count=30,
-    derandomize=True,
     deadline=None,
     report_multiple_bugs=False,
 )
--- a/tests/test_control_invariants.py
+++ b/tests/test_control_invariants.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import hypothesis_settings
 import pytest
 
 from quetzalgauge import keys
@@ -175,10 +176,9 @@
         world.check()
 
 
-ControlMachine.TestCase.settings = hypothesis.settings(
+ControlMachine.TestCase.settings = hypothesis_settings.make(
     max_examples=12,
     stateful_step_count=30,
-    derandomize=True,
     deadline=None,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import hypothesis_settings
 import pytest
 
 from quetzalgauge import catalog as catalog_module
@@ -278,10 +279,9 @@
             assert digest == self.digests[offset], "not the state of the log"
 
 
-_SETTINGS = hypothesis.settings(
+_SETTINGS = hypothesis_settings.make(
     max_examples=150,
     stateful_step_count=40,
-    derandomize=True,
     deadline=None,
     report_multiple_bugs=False,
 )
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import hypothesis_settings
 import naive_ledger
 import pytest
 
@@ -548,11 +549,10 @@
         ] == self.naive.claims()
 
 
-def _run(machine, examples, phases=tuple(hypothesis.Phase)):
-    settings = hypothesis.settings(
-        max_examples=examples,
+def _run(machine, count, phases=tuple(hypothesis.Phase)):
+    settings = hypothesis_settings.make(
+        max_examples=count,
         stateful_step_count=40,
-        derandomize=True,
         deadline=None,
         phases=phases,
         suppress_health_check=list(hypothesis.HealthCheck),
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import hypothesis_settings
 import pytest
 
 from quetzalgauge import exceptions
@@ -37,7 +38,7 @@
 
 
 @hypothesis.given(strategies.binary(max_size=200))
-@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+@hypothesis_settings.make(max_examples=300)
 def test_foreign_bytes_give_a_decode_error(data):
     """Guards against a follower that stops at a damaged record."""
     with contextlib.suppress(exceptions.DecodeError):
@@ -45,7 +46,7 @@
 
 
 @hypothesis.given(strategies.data())
-@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+@hypothesis_settings.make(max_examples=300)
 def test_damaged_records_give_a_decode_error(data):
     """Guards against a flipped byte that raises anything but DecodeError."""
     body = data.draw(strategies.sampled_from(_BODIES))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,8 +4,8 @@
 import random
 
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies
+import hypothesis_settings
 
 from quetzalgauge import ids
 from quetzalgauge import routing
@@ -57,7 +57,7 @@
     ]
 
 
-@settings(derandomize=True, deadline=None)
+@hypothesis_settings.make()
 @given(
     CANDIDATES,
     NAMES,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import hypothesis_settings
 import pytest
 
 from quetzalgauge import exceptions
@@ -122,7 +123,7 @@
         _VALUES,
     )
 )
-@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+@hypothesis_settings.make(max_examples=300)
 def test_any_values_give_settings_or_findings(changes):
     """Guards against a check that fails on a value of an unexpected type."""
     text = json.dumps(_GOOD | changes)
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import hypothesis_settings
 import pytest
 
 from quetzalgauge import exceptions
@@ -55,7 +56,7 @@
 
 
 @hypothesis.given(strategies.lists(strategies.integers(-(2**63), 2**63 - 1)))
-@hypothesis.settings(max_examples=100, derandomize=True, deadline=None)
+@hypothesis_settings.make(max_examples=100)
 def test_numbers_come_back_as_they_were(numbers):
     """Guards against numbers at the ends of the range."""
     packed = snapshots.pack_numbers(numbers)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,8 +1,8 @@
 """Whole events and the end marker of a target's stream."""
 
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies
+import hypothesis_settings
 import pytest
 
 from quetzalgauge import streams
@@ -22,7 +22,7 @@
     ]
 
 
-@settings(derandomize=True, deadline=None)
+@hypothesis_settings.make()
 @given(
     strategies.sets(strategies.integers(0, len(EVENTS + DONE)), max_size=9),
     strategies.booleans(),
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -8,6 +8,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import hypothesis_settings
 import pytest
 
 from quetzalgauge import exceptions
@@ -142,7 +143,7 @@
 
 
 @hypothesis.given(_JSON)
-@hypothesis.settings(max_examples=150, derandomize=True, deadline=None)
+@hypothesis_settings.make(max_examples=150)
 def test_any_json_is_parsed_or_gives_findings(value):
     """Guards against values whose types a check does not expect."""
     try:
