--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint format demo fault-matrix bench report soak generate clean
+.PHONY: setup test lint format demo fault-matrix bench report slopes soak generate clean
 
 setup: $(STAMP)
 
@@ -31,6 +31,9 @@
 fault-matrix: setup
 	$(BIN)/python tools/fault_matrix.py
 
+slopes: setup
+	$(BIN)/python tools/slopes.py
+
 bench: setup
 	$(BIN)/python tools/bench_streams.py
 
