--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -43,6 +43,16 @@
     assert row.split("|")[0].strip() == str(refusal.status)
 
 
+def test_a_key_whose_first_try_still_runs_is_documented_as_unknown():
+    """Guards against callers who take `not_run` for leave to book again."""
+    page = read("docs/interface.md")
+    (conflict,) = table_rows(page, "key_conflict")
+    (unknown,) = table_rows(page, "outcome_unknown")
+    assert "still runs" not in conflict
+    assert "still runs" in unknown
+    assert "- `outcome_unknown`, if the first try still runs" in page
+
+
 def test_every_ticket_verdict_and_exit_status_is_documented():
     page = read("docs/interface.md")
     for verdict in messages.TicketVerdict:
