Judge only loads of the cold model in the demo

Cause: the demo expected exactly one loaded model, but control also loads others for the cache. Ruled out: a load of the cold model per zone, which is still a failure. Change: the cold model's count must be one; others are printed. Before: a load for the cache failed the demo. Conclusion: loads for the cache no longer fail the demo.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -148,11 +148,18 @@
             0 < longest < FIRST_TOKEN_SECONDS,
             f"cold start: last first token after {longest:.2f} s",
         )
+        self.check_loads()
+
+    def check_loads(self) -> None:
+        """Expects one load of the cold model in the region."""
         loads = self.count_loads()
+        cold = loads.pop(f"{COLD_MODEL}@v1", 0)
         self.expect(
-            loads == {f"{COLD_MODEL}@v1": 1},
-            f"one load served them: {loads}",
+            cold == 1, f"{COLD_MODEL} was loaded {cold} time(s) in the region"
         )
+        # Control also loads other models for the cache (`warm_checkpoints`).
+        for name, count in loads.items():
+            self.say(f"{'info':6} other model, loaded {count} time(s): {name}")
 
     def count_loads(self) -> dict[str, int]:
         """Loads since the start, by MODEL@VERSION, on all engines."""
