Answer unknown soon after the entry process of a key has ended

Ruled out: a missing release, since the first try may have run. Change: an entry process that is silent for 5 s, or that reports without routes after a restart, makes its older claims without an outcome unknown. A peer learns it from fetch_outcome by the status 410 with known=false. Before: both new tests fail, the second tries wait. After: unknown within 6 s of the last sync, at the same and at another instance, in the core's tests. Conclusion: the wait no longer depends on the caller's deadline.

--- a/src/quetzalgauge/controller.py
+++ b/src/quetzalgauge/controller.py
@@ -645,6 +645,9 @@
     # ---- Entries and peers -------------------------------------------------
 
     def _handle_entry_report(self, event: messages.EntryReported) -> None:
+        report = event.report
+        # An entry process that has just started has no routes.
+        self._hear_entry(ids.EntryId(report.entry), report.routes_version == 0)
         for target in event.report.suspect_targets:
             self._ctx.membership.suspect(ids.TargetId(target), self._now)
         for demand in event.report.demands:
@@ -688,14 +691,19 @@
     def _handle_ticket(self, event: messages.TicketSubmitted) -> None:
         self._submissions.submit(event, self._now)
 
+    def _hear_entry(self, entry: ids.EntryId, is_new: bool) -> None:
+        offset = self._decisions.follower.next_offset
+        self._keys.hear(entry, offset, self._now, is_new)
+
     def _handle_key_claim(self, event: messages.KeyClaimRequested) -> None:
+        self._hear_entry(event.entry, is_new=False)
         self._keys.request(event, self._now)
 
     def _handle_outcome_stored(self, event: messages.OutcomeStored) -> None:
         self._keys.store(event.key, event.outcome, self._now)
 
     def _handle_outcome_wanted(self, event: messages.OutcomeWanted) -> None:
-        outcome = self._keys.outcome(event.key)
+        outcome = self._keys.outcome(event.key, self._now)
         self._actions.append(messages.Reply(event.token, outcome))
 
     def _handle_outcome_fetched(self, event: messages.OutcomeFetched) -> None:
--- a/src/quetzalgauge/keys.py
+++ b/src/quetzalgauge/keys.py
@@ -8,6 +8,7 @@
 
 from quetzalgauge import context
 from quetzalgauge import ids
+from quetzalgauge import keyclaims
 from quetzalgauge import messages
 from quetzalgauge import records
 from quetzalgauge.gen import ttypes
@@ -15,6 +16,14 @@
 # A claim that the log does not confirm within this time is given up.
 CLAIM_TIMEOUT = datetime.timedelta(seconds=3)
 FETCH_INTERVAL = datetime.timedelta(milliseconds=500)
+# An entry process syncs several times a second. One that has been silent for
+# this long has ended or is cut off, and its outcomes may never arrive. Above
+# the 3 s timeout of a sync and the pause of up to 1 s after a failure.
+ENTRY_SILENCE = datetime.timedelta(seconds=5)
+# Restarted entry processes may have new names.
+_MAX_ENTRIES = 100
+# Tells a peer that an outcome will not become known (HTTP status "Gone").
+_LOST_STATUS = 410
 # Outcomes are kept in memory only, within a share of the 64 MB of a process.
 OUTCOME_LIMIT = 5_000
 OUTCOME_LIMIT_BYTES = 8 * 1024 * 1024
@@ -38,6 +47,20 @@
     may_run: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    """An entry process of this instance.
+
+    Attributes:
+        heard: When it called last.
+        since: Claims below this offset were made before it started, or before
+            it was last silent for too long.
+    """
+
+    heard: datetime.timedelta
+    since: ids.Offset = ids.NO_OFFSET
+
+
 class Keys:
     """The keys that entry processes of this instance ask about."""
 
@@ -46,6 +69,7 @@
         self._waiters: dict[ids.KeyHash, list[_Waiter]] = {}
         self._claims: dict[ids.KeyHash, _State] = {}
         self._fetched: dict[ids.KeyHash, datetime.timedelta] = {}
+        self._entries: dict[ids.EntryId, _Entry] = {}
         self._outcomes: collections.OrderedDict[ids.KeyHash, Any] = (
             collections.OrderedDict()
         )
@@ -56,6 +80,36 @@
         """Whether nobody waits and no claim is undecided."""
         return not self._waiters and not self._claims
 
+    @property
+    def has_waiters(self) -> bool:
+        """Whether a request waits for a decision about its key."""
+        return bool(self._waiters)
+
+    def hear(
+        self,
+        entry: ids.EntryId,
+        next_offset: ids.Offset,
+        now: datetime.timedelta,
+        is_new: bool = False,
+    ) -> None:
+        """Notes a call of an entry process.
+
+        Args:
+            entry: The entry process.
+            next_offset: Where the decision stream has been read to.
+            now: The present time.
+            is_new: Whether it has just started and knows no earlier request.
+        """
+        known = self._entries.pop(entry, None)
+        if known is None:
+            known = _Entry(now)
+        elif is_new or now - known.heard > ENTRY_SILENCE:
+            known.since = next_offset
+        known.heard = now
+        self._entries[entry] = known
+        if len(self._entries) > _MAX_ENTRIES:
+            del self._entries[next(iter(self._entries))]
+
     def request(
         self, event: messages.KeyClaimRequested, now: datetime.timedelta
     ) -> None:
@@ -112,16 +166,31 @@
             self._outcome_bytes -= _size(oldest)
         self._resolve(key, now)
 
-    def outcome(self, key: ids.KeyHash) -> Any:
+    def outcome(self, key: ids.KeyHash, now: datetime.timedelta) -> Any:
         """Returns the kept ttypes.KeyOutcome, or one that is not known."""
-        return self._outcomes.get(key) or _unknown_outcome()
+        kept = self._outcomes.get(key)
+        if kept is not None:
+            return kept
+        claim = self._ctx.ledger.key_claim(key)
+        if claim is None or claim.writer != self._ctx.writer:
+            return _unknown_outcome()
+        if key in self._claims or not self._is_lost(claim, now):
+            return _unknown_outcome()
+        return _unknown_outcome(_LOST_STATUS)
 
     def receive(
         self, key: ids.KeyHash, outcome: Any, now: datetime.timedelta
     ) -> None:
         """Takes a peer's answer about an outcome."""
-        if outcome is not None and outcome.known:
+        if outcome is None:
+            return
+        if outcome.known:
             self._finish(key, ttypes.KeyDecision.STORED, outcome)
+            return
+        claim = self._ctx.ledger.key_claim(key)
+        is_foreign = claim is not None and claim.writer != self._ctx.writer
+        if is_foreign and outcome.status == _LOST_STATUS:
+            self._finish(key, ttypes.KeyDecision.UNKNOWN, None)
 
     def tick(self, now: datetime.timedelta) -> None:
         """Answers requests whose time is over, and asks peers again."""
@@ -144,7 +213,7 @@
         if claim is None:
             self._claim(key, waiters)
         elif claim.writer == self._ctx.writer:
-            self._resolve_own(key, waiters)
+            self._resolve_own(key, waiters, claim, now)
         else:
             # A given-up claim stays noted until its release was read, since
             # the release would also undo a later claim.
@@ -160,7 +229,13 @@
         self._claims[key] = _State.PROPOSED
         self._ctx.propose(records.KeyClaim((key,), first.entry))
 
-    def _resolve_own(self, key: ids.KeyHash, waiters: list[_Waiter]) -> None:
+    def _resolve_own(
+        self,
+        key: ids.KeyHash,
+        waiters: list[_Waiter],
+        claim: keyclaims.Claim,
+        now: datetime.timedelta,
+    ) -> None:
         state = self._claims.get(key)
         if state is _State.GIVEN_UP:
             return
@@ -175,6 +250,16 @@
         if key in self._outcomes:
             stored = self._outcomes[key]
             self._finish(key, ttypes.KeyDecision.STORED, stored)
+        elif self._is_lost(claim, now):
+            self._finish(key, ttypes.KeyDecision.UNKNOWN, None)
+
+    def _is_lost(self, claim: keyclaims.Claim, now: datetime.timedelta) -> bool:
+        """Whether the entry process of an own claim has ended since."""
+        entry = self._entries.get(claim.entry)
+        if entry is None:
+            return True
+        is_silent = now - entry.heard > ENTRY_SILENCE
+        return is_silent or claim.offset < entry.since
 
     def _fetch(
         self,
@@ -221,8 +306,8 @@
         self._ctx.act(messages.Reply(token, value))
 
 
-def _unknown_outcome() -> Any:
-    return ttypes.KeyOutcome(known=False, status=0, headers={}, body=b"")
+def _unknown_outcome(status: int = 0) -> Any:
+    return ttypes.KeyOutcome(known=False, status=status, headers={}, body=b"")
 
 
 def _size(outcome: Any) -> int:
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -5,6 +5,7 @@
 import control_fakes
 import pytest
 
+from quetzalgauge import keys
 from quetzalgauge import messages
 from quetzalgauge import records
 from quetzalgauge.gen import ttypes
@@ -141,3 +142,46 @@
         and isinstance(body := envelope.body, records.KeyClaim)
     ]
     assert len(claims) == 2
+
+
+def sync(world, name, seconds, routes_version=1):
+    """Lets the entry process of an instance sync for a while."""
+    report = ttypes.EntryReport(
+        f"entry-{name}", routes_version, 1, [], {}, [], False
+    )
+    for _ in range(seconds):
+        world.send(name, messages.EntryReported(report))
+        world.run(1)
+
+
+def test_outcome_of_an_ended_entry_process_is_soon_unknown(world):
+    """Guards against a second try that waits up to its own deadline.
+
+    The instance of the first try runs on without its entry process. As long
+    as that one syncs, the outcome may still arrive.
+    """
+    claim(world, "node-0", 7, "first", seconds=60)
+    claim(world, "node-0", 7, "own", seconds=60)
+    claim(world, "node-1", 7, "other", seconds=60)
+    sync(world, "node-0", 15)
+    assert decisions(world, "first") == [RUN]
+    assert not {"own", "other"} & set(world.replies)
+    world.run(keys.ENTRY_SILENCE.total_seconds() + 1)
+    assert decisions(world, "own", "other") == [UNKNOWN, UNKNOWN]
+
+
+def test_outcome_of_a_restarted_entry_process_is_unknown(world):
+    """Guards against a wait for an outcome that a restart has lost."""
+    claim(world, "node-0", 7, "first", seconds=60)
+    claim(world, "node-0", 7, "own", seconds=60)
+    claim(world, "node-1", 7, "other", seconds=60)
+    sync(world, "node-0", 1, routes_version=0)
+    assert decisions(world, "own", "other") == [UNKNOWN, UNKNOWN]
+    claim(world, "node-0", 8, "later", seconds=60)
+    claim(world, "node-1", 8, "again", seconds=60)
+    sync(world, "node-0", 10)
+    assert decisions(world, "later") == [RUN]
+    assert "again" not in world.replies
+    store(world, "node-0", 8)
+    world.run(1)
+    assert decisions(world, "again") == [STORED]
