End a drain that waits only for the log

Cause: a draining control process repeats appends until drain_timeout (240 s) while the log is down. Ruled out: orders, adapter calls and key claims, which still hold the stop back. Change: without them, and 10 s after the drain began or the log last answered, the process stops with a warning. Successors close its fencing numbers with WRITER_GONE. Conclusion: the stop no longer depends on the log.

--- a/src/quetzalgauge/controller.py
+++ b/src/quetzalgauge/controller.py
@@ -41,6 +41,10 @@
 REJECTED_PAUSE = datetime.timedelta(seconds=1)
 SNAPSHOT_FETCH_INTERVAL = datetime.timedelta(seconds=2)
 RECENT_BYTES = 128 * 1024
+# About one lease duration. A drain that waits only for the log ends when the
+# log has not answered for this long; successors close the open numbers with
+# WRITER_GONE.
+DRAIN_LOG_WAIT = datetime.timedelta(seconds=10)
 # A target that has not answered for this long has no replicas to route to.
 SILENCE_LIMIT = datetime.timedelta(seconds=10)
 
@@ -120,6 +124,7 @@
         self._is_started = False
         self._is_stopped = False
         self._was_registered = False
+        self._drain_since = datetime.timedelta()
         self._zone_reviewed: datetime.timedelta | None = None
         self._needs_review = False
         self._needs_loads = False
@@ -299,14 +304,37 @@
         self._needs_review = True
 
     def _handle_drain(self, event: messages.DrainRequested) -> None:
+        if not self._ctx.is_draining:
+            self._drain_since = self._now
         self._ctx.is_draining = True
         self._needs_review = True
 
     def _end_drain(self) -> None:
         # The shell bounds the time that a drain may take.
-        is_draining = self._ctx.is_draining and not self._is_stopped
-        if is_draining and not self.has_work:
+        if not self._ctx.is_draining or self._is_stopped:
+            return
+        if not self.has_work:
             self._stop(logging.INFO, "drained")
+        elif self._waits_only_for_log():
+            self._stop(
+                logging.WARNING,
+                "the log cannot be reached, so the drain ends without closing"
+                " its fencing numbers",
+            )
+
+    def _waits_only_for_log(self) -> bool:
+        """Whether the log is silent and nothing else is in progress."""
+        ctx = self._ctx
+        since = max(
+            self._drain_since, ctx.reading.last_read or self._drain_since
+        )
+        return (
+            not ctx.reading.is_reachable
+            and self._now - since >= DRAIN_LOG_WAIT
+            and not ctx.orders.count
+            and not self._keys.has_waiters
+            and self._adapters.is_idle
+        )
 
     # ---- Streams -----------------------------------------------------------
 
