Split placement into modules with one job each

Cause: placement.py had 1,119 lines and one class with 47 methods for reservations, loads, unloads, demand and the state of orders.

Ruled out: functions that pass the whole state around; delegating methods in Placement, which would only repeat the names of its parts.

Change: progress (what is under way on targets), rooms (which target has room, at what cost), unloads (unload and release), reservations (advance reservations, eviction), loads (load orders, the store's share), offers (zones' best places) and placement, which composes them and answers demand. The constant for "never yet" was defined four times and now stands in context. Two tests patch or read names at their new places.

Before and after: the methods are the same but for the names of the parts (compared as syntax trees); the tests of the modules concerned pass as before. The full suite was not run for this commit.

Conclusion: no behaviour changed.

--- a/src/quetzalgauge/adapters.py
+++ b/src/quetzalgauge/adapters.py
@@ -18,7 +18,6 @@
 # two ticks, so a status is asked for again at once this many times.
 MAX_QUICK_POLLS = 20
 _USED_LIMIT = 5_000
-_LONG_AGO = datetime.timedelta(days=-1)
 
 _Place = tuple[ids.TargetId, ids.AdapterName]
 
@@ -36,7 +35,7 @@
     tokens: list[tuple[Any, datetime.timedelta]]
     order_id: ids.OrderId | None = None
     is_accepted: bool = False
-    retry: datetime.timedelta = _LONG_AGO
+    retry: datetime.timedelta = context.LONG_AGO
     quick_polls: int = 0
 
 
@@ -240,7 +239,7 @@
         oldest = min(
             model.adapters,
             key=lambda other: (
-                self._used.get((target, other), _LONG_AGO),
+                self._used.get((target, other), context.LONG_AGO),
                 other,
             ),
             default=None,
@@ -248,7 +247,7 @@
         if oldest is None:
             return False
         place = (target, oldest)
-        if now - self._used.get(place, _LONG_AGO) < MIN_RESIDENCE:
+        if now - self._used.get(place, context.LONG_AGO) < MIN_RESIDENCE:
             return False
         self._unload_orders[place] = self._send(
             messages.OrderAction.UNLOAD_ADAPTER, target, oldest, model
--- a/src/quetzalgauge/context.py
+++ b/src/quetzalgauge/context.py
@@ -20,6 +20,9 @@
 # any answer for this long, silence in the stream says nothing about others.
 READ_GAP = datetime.timedelta(seconds=7)
 
+# A time before every event, for what has not happened yet.
+LONG_AGO = datetime.timedelta(days=-1)
+
 
 @dataclasses.dataclass(slots=True)
 class Reading:
--- a/src/quetzalgauge/controller.py
+++ b/src/quetzalgauge/controller.py
@@ -294,7 +294,7 @@
                 if now < until
             }
         for target in self._leases.held():
-            if self._placement.is_changing(target):
+            if self._placement.progress.is_changing(target):
                 self._polls.hurry(target, now)
         self._needs_review = True
 
@@ -372,7 +372,7 @@
             self._settle_proposals()
             self._leases.restore(self._now)
             self._keys.resolve_all(self._now)
-            self._placement.note_change()
+            self._placement.reservations.note_change()
             self._needs_review = True
         for folded in progress.folded:
             if folded.envelope is not None:
@@ -404,7 +404,7 @@
         ):
             self._choose_polls()
             self._polls.void(body.target, self._now)
-        self._placement.note_change()
+        self._placement.reservations.note_change()
         self._needs_review = True
 
     def _end_proposal(self, body: records.Body, is_accepted: bool) -> None:
@@ -535,7 +535,7 @@
             return
         if len(membership.leaving) > leaving:
             self._exchange.add_leaving_news()
-        self._placement.note_change()
+        self._placement.reservations.note_change()
         self._choose_polls()
         self._needs_review = True
 
@@ -580,7 +580,7 @@
             event.target, status.incarnation
         ):
             self._exchange.add_leaving_news()
-        self._placement.poll(event.target, status, self._now)
+        self._placement.progress.poll(event.target, status, self._now)
         self._adapters.review(event.target, self._now)
         self._publish(event.target, status)
         self._needs_review = True
@@ -604,7 +604,7 @@
         item = self._ctx.membership.targets.get(target)
         if item is None or item.service_kind is messages.ServiceKind.PLAIN:
             return
-        unloading = self._placement.unloading(target)
+        unloading = self._placement.progress.unloading(target)
         self._announced[target] = unloading
         if self._views.update(status, item, unloading):
             self._exchange.add_news(target)
@@ -618,7 +618,7 @@
         if order.adapter:
             self._adapters.answer_order(order, event.outcome, now)
         else:
-            self._placement.answer_order(order, event.outcome, now)
+            self._placement.progress.answer_order(order, event.outcome, now)
         if order.action is not messages.OrderAction.FENCE:
             self._polls.hurry(order.target, now)
         self._needs_review = True
@@ -712,9 +712,9 @@
         if self._needs_review:
             self._leases.review_held(now)
             for target in self._leases.held():
-                self._placement.review_target(target, now)
+                self._placement.unloads.review(target, now)
                 self._announce(target)
-            self._placement.review_reservations(now)
+            self._placement.reservations.review(now)
             if ctx.settings.warm_checkpoints:
                 self._warmup.review(now)
         if self._needs_review or self._needs_loads:
@@ -728,7 +728,7 @@
 
     def _announce(self, target: ids.TargetId) -> None:
         """Tells at once when a slot starts or stops to be unloading."""
-        unloading = self._placement.unloading(target)
+        unloading = self._placement.progress.unloading(target)
         if unloading == self._announced.get(target, set()):
             return
         status = self._leases.status(target)
--- a/src/quetzalgauge/leases.py
+++ b/src/quetzalgauge/leases.py
@@ -27,7 +27,6 @@
 _MAX_CLAIMS = 20
 
 _PART = "leases"
-_LONG_AGO = datetime.timedelta(days=-1)
 
 
 class Leases:
@@ -57,11 +56,11 @@
         ] = {}
         self._marks: dict[ids.TargetId, int] = {}
         self._renew_sent: datetime.timedelta | None = None
-        self._confirmed: datetime.timedelta = _LONG_AGO
+        self._confirmed: datetime.timedelta = context.LONG_AGO
         self._claim_sent: dict[ids.TargetId, datetime.timedelta] = {}
         self._claim_confirmed: dict[ids.TargetId, datetime.timedelta] = {}
         self._system_incarnations: dict[ids.InstanceId, int] = {}
-        self._rebalanced = _LONG_AGO
+        self._rebalanced = context.LONG_AGO
 
     # ---- What others ask ---------------------------------------------------
 
@@ -93,7 +92,7 @@
         if state.checks_fencing:
             return True
         confirmed = max(
-            self._confirmed, self._claim_confirmed.get(target, _LONG_AGO)
+            self._confirmed, self._claim_confirmed.get(target, context.LONG_AGO)
         )
         return now - confirmed < self._ctx.settings.lease_duration
 
@@ -132,7 +131,7 @@
             return False
         seen = max(
             self._claims.setdefault(target, now),
-            self._renewals.get(state.holder, _LONG_AGO),
+            self._renewals.get(state.holder, context.LONG_AGO),
             ctx.reading.since or now,
         )
         return now - seen >= ctx.settings.lease_duration
@@ -194,7 +193,7 @@
                 self._statuses.pop(body.target, None)
                 self._marks.pop(body.target, None)
                 self._claim_confirmed[body.target] = self._claim_sent.get(
-                    body.target, _LONG_AGO
+                    body.target, context.LONG_AGO
                 )
         elif isinstance(body, records.Close):
             self._own_numbers.discard((body.target, body.fencing_number))
@@ -355,7 +354,7 @@
         number = ctx.ledger.targets[target].fencing_number
         if target in self._fencing or self._refused.get(target) == number:
             return
-        if now < self._fence_after.get(target, _LONG_AGO):
+        if now < self._fence_after.get(target, context.LONG_AGO):
             return
         order = messages.Order(
             order_id=ctx.orders.next_id(),
--- a/src/quetzalgauge/warmup.py
+++ b/src/quetzalgauge/warmup.py
@@ -23,8 +23,6 @@
 # that a cold start finds the store at full speed.
 _STORE_PART = 2
 
-_LONG_AGO = datetime.timedelta(days=-1)
-
 
 class WarmUp:
     """Chooses the checkpoints that this process brings near."""
@@ -40,7 +38,7 @@
         self._views = views
         self._demands = demands
         self._placement = placement
-        self._reviewed = _LONG_AGO
+        self._reviewed = context.LONG_AGO
         self._tried: dict[demand_module.Servable, datetime.timedelta] = {}
         # What a target had cached before the latest load for the cache.
         self._before: dict[ids.TargetId, frozenset[str]] = {}
@@ -125,13 +123,13 @@
             if target is None or not ctx.holds(target):
                 return False
             # The load follows at a later review, when the log has it.
-            self._placement.place_on(target, slot, spec, now)
+            self._placement.reservations.place_on(target, slot, spec, now)
             return True
         if not ctx.holds(target):
             return False
         if self._is_full(target, now):
             return False
-        if not self._placement.warm(target, slot, now):
+        if not self._placement.loads.warm(target, slot, now):
             return False
         self._tried[servable] = now
         self._before[target] = self._cached(target)
@@ -157,9 +155,11 @@
         """Returns the target with the fewest cached checkpoints that fits."""
         fitting = [
             target
-            for target in self._placement.usable_targets(self._ctx.zone, now)
+            for target in self._placement.rooms.usable_targets(
+                self._ctx.zone, now
+            )
             if not self._is_full(target, now)
-            and self._placement.has_spare_room(target, slot, spec)
+            and self._placement.rooms.has_spare_room(target, slot, spec)
         ]
         if not fitting:
             return None
--- a/tests/test_control_invariants.py
+++ b/tests/test_control_invariants.py
@@ -13,8 +13,8 @@
 from quetzalgauge import ledger
 from quetzalgauge import messages
 from quetzalgauge import orders
-from quetzalgauge import placement
 from quetzalgauge import records
+from quetzalgauge import unloads
 
 NODES = ("node-0", "node-1", "node-2")
 MODELS = ("report", "summary", "label")
@@ -317,7 +317,7 @@
     ),
     (
         unload_while_routed,
-        [(placement, "UNLOAD_NOTICE", datetime.timedelta())],
+        [(unloads, "UNLOAD_NOTICE", datetime.timedelta())],
     ),
     (run_a_refused_key, [(keys.Keys, "_give_up", keep_waiting)]),
 ]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,9 +4,11 @@
 import pytest
 
 from quetzalgauge import ids
+from quetzalgauge import loads
 from quetzalgauge import messages
-from quetzalgauge import placement
+from quetzalgauge import offers
 from quetzalgauge import records
+from quetzalgauge import unloads
 from quetzalgauge.gen import ttypes
 
 ZONE = control_fakes.ZONE
@@ -138,7 +140,7 @@
     for node in ("node-0", "node-1"):
         assert states(world, node, "report") == [ttypes.ReplicaState.UNLOADING]
     assert not sent(world, messages.OrderAction.UNLOAD)
-    world.run(placement.UNLOAD_NOTICE.total_seconds() + 1)
+    world.run(unloads.UNLOAD_NOTICE.total_seconds() + 1)
     assert sent(world, messages.OrderAction.UNLOAD)
     assert not world.loaded()
     assert not world.ledger.slots
@@ -260,7 +262,7 @@
     world.start("node-11", zone="uy-south-c")
     world.run(2)
     zones = ("uy-south-a", "uy-south-b", "uy-south-c")
-    shares = [placement.zone_share(world.ledger, 4, zone) for zone in zones]
+    shares = [loads.zone_share(world.ledger, 4, zone) for zone in zones]
     assert shares == [2, 1, 1]
 
 
@@ -386,7 +388,7 @@
         "node-1",
     }
     stuck = world.controllers["node-1"]._placement
-    stuck.review_reservations = lambda now: None
+    stuck.reservations.review = lambda now: None
     world.ticket(2, models)
     world.run(30)
     name = next(t for t in world.targets if world.holder(t) == "node-0")
@@ -458,7 +460,7 @@
             version="v1",
             waiting=5,
             running=0,
-            oldest_wait_s=placement.REGION_PATIENCE.total_seconds() + 1,
+            oldest_wait_s=offers.REGION_PATIENCE.total_seconds() + 1,
             priority=5,
             origin=f"entry-{name}",
         )
@@ -476,7 +478,7 @@
     """
     world = make_region()
     for target in world.targets.values():
-        target.load_seconds = placement.REGION_PATIENCE.total_seconds() + 5
+        target.load_seconds = offers.REGION_PATIENCE.total_seconds() + 5
     for second in range(60):
         for name in list(world.controllers):
             world.demand[name].append(
