--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -351,6 +351,7 @@
     assert read_stream(entry) == EVENTS + entry_fakes.DONE
 
 
+@pytest.mark.covers("half-open connection", "request")
 def test_silent_stream_ends_with_an_error(world):
     """Guards against a stream that hangs on a half-open connection."""
     entry, _, target, _ = world
