Move the streams of the log out of the controller

The class Progress of placement had the same name as the follower's.

Ruled out: moving the fold's consequences too, since they join leases, keys and placement, which is the controller's job.

The full suite was not run for this commit.

Conclusion: no behaviour changed.

--- a/src/quetzalgauge/progress.py
+++ b/src/quetzalgauge/activity.py
@@ -16,7 +16,7 @@
 Place = tuple[ids.TargetId, ids.SlotId]
 
 
-class Progress:
+class Activity:
     """What this process has under way on its targets.
 
     Attributes:
--- a/src/quetzalgauge/controller.py
+++ b/src/quetzalgauge/controller.py
@@ -12,7 +12,6 @@
 from typing import Any
 
 from quetzalgauge import adapters as adapters_module
-from quetzalgauge import appends as appends_module
 from quetzalgauge import context
 from quetzalgauge import demand as demand_module
 from quetzalgauge import exchange as exchange_module
@@ -20,6 +19,7 @@
 from quetzalgauge import ids
 from quetzalgauge import keys as keys_module
 from quetzalgauge import leases as leases_module
+from quetzalgauge import logstreams
 from quetzalgauge import membership as membership_module
 from quetzalgauge import messages
 from quetzalgauge import orders as orders_module
@@ -35,29 +35,15 @@
 from quetzalgauge.gen import ttypes
 
 ZONE_INTERVAL = datetime.timedelta(seconds=1)
-APPEND_RETRY = datetime.timedelta(milliseconds=500)
 # A record that the fold has rejected is not proposed again before the state
 # that led to it had time to change.
 REJECTED_PAUSE = datetime.timedelta(seconds=1)
-SNAPSHOT_FETCH_INTERVAL = datetime.timedelta(seconds=2)
-RECENT_BYTES = 128 * 1024
 # A target that has not answered for this long has no replicas to route to.
 SILENCE_LIMIT = datetime.timedelta(seconds=10)
 
 _PART = "control"
 
 
-@dataclasses.dataclass(slots=True)
-class _Stream:
-    """One stream: the fold and the own proposals."""
-
-    name: ids.StreamName
-    follower: Any
-    appends: appends_module.Appends
-    retry: datetime.timedelta = datetime.timedelta()
-    fetched: datetime.timedelta = datetime.timedelta()
-
-
 class Controller:
     """The state of a control process. Use `make_controller`."""
 
@@ -70,19 +56,11 @@
         writer = ids.WriterId(ids.InstanceId(settings.instance), incarnation)
         region = ids.Region(settings.region)
         self._actions: list[messages.Action] = []
-        self._decisions = _Stream(
-            ids.decision_stream(region),
-            follower_module.make_decision_follower(random),
-            appends_module.make_appends(writer),
-        )
-        self._config = _Stream(
-            ids.CONFIG_STREAM,
-            follower_module.make_config_follower(random),
-            appends_module.make_appends(writer),
+        self._streams = logstreams.LogStreams(
+            writer, region, random, self._actions.append, self._take_progress
         )
-        self._streams = {
-            stream.name: stream for stream in (self._decisions, self._config)
-        }
+        self._decisions = self._streams.decisions
+        self._config = self._streams.config
         self._rejected: dict[records.Body, datetime.timedelta] = {}
         self._ctx = context.Context(
             settings=settings,
@@ -112,7 +90,10 @@
             ctx, self._propose_ticket
         )
         self._exchange = exchange_module.Exchange(
-            ctx, self._views, self._next_offsets, self._records_from
+            ctx,
+            self._views,
+            self._streams.next_offsets,
+            self._streams.records_from,
         )
         self._polls = polls_module.Polls()
         self._routes = routes_module.Routes(ctx, self._views)
@@ -128,7 +109,7 @@
         self._handlers: dict[type, Callable[[Any], None]] = {
             messages.Tick: self._handle_tick,
             messages.StreamRead: self._handle_read,
-            messages.StreamExpired: self._handle_expired,
+            messages.StreamExpired: self._streams.expire,
             messages.StreamFailed: self._handle_failed,
             messages.AppendDone: self._handle_append_done,
             messages.InstancesListed: self._handle_instances,
@@ -144,7 +125,7 @@
             messages.OutcomeWanted: self._handle_outcome_wanted,
             messages.OutcomeFetched: self._handle_outcome_fetched,
             messages.AdapterRequested: self._handle_adapter,
-            messages.SnapshotWanted: self._handle_snapshot_wanted,
+            messages.SnapshotWanted: self._streams.answer_snapshot,
             messages.SnapshotFetched: self._handle_snapshot,
             messages.DrainRequested: self._handle_drain,
             messages.TargetDrainRequested: self._handle_target_drain,
@@ -193,8 +174,7 @@
             or ctx.orders.count
             or not self._keys.is_idle
             or not self._adapters.is_idle
-            or not self._decisions.appends.is_idle
-            or not self._config.appends.is_idle
+            or not self._streams.is_idle
         )
 
     def dump(self) -> dict[str, Any]:
@@ -208,10 +188,7 @@
             "registered": ctx.is_registered,
             "draining": ctx.is_draining,
             "log_reachable": ctx.reading.is_reachable,
-            "offsets": {
-                name: stream.follower.next_offset
-                for name, stream in self._streams.items()
-            },
+            "offsets": self._streams.next_offsets(),
             "catalog_version": ctx.catalog.version,
             "orders_in_flight": ctx.orders.count,
             "proposals": len(self._decisions.appends.proposals()),
@@ -256,8 +233,7 @@
 
     def _start(self) -> None:
         self._is_started = True
-        for stream in self._streams.values():
-            self._read_from(stream)
+        self._streams.start()
         self._register()
 
     def _register(self) -> None:
@@ -285,8 +261,8 @@
             self._zone_reviewed = now
             self._leases.review_zone(now)
             self._choose_polls()
-            self._catch_up()
-            self._propose_snapshots()
+            self._streams.catch_up(self._exchange.pick_peer, now)
+            self._streams.propose_snapshots(ctx, now)
             self._drop_views()
             self._rejected = {
                 body: until
@@ -294,7 +270,7 @@
                 if now < until
             }
         for target in self._leases.held():
-            if self._placement.progress.is_changing(target):
+            if self._placement.activity.is_changing(target):
                 self._polls.hurry(target, now)
         self._needs_review = True
 
@@ -323,16 +299,9 @@
         self._config.appends.propose(ticket)
 
     def _handle_read(self, event: messages.StreamRead) -> None:
-        stream = self._streams[event.stream]
-        if stream is self._decisions:
+        if event.stream == self._decisions.name:
             self._ctx.reading.succeed(self._now)
-        progress = stream.follower.read(event.records, event.next_offset)
-        self._take_progress(stream, progress)
-
-    def _handle_expired(self, event: messages.StreamExpired) -> None:
-        stream = self._streams[event.stream]
-        self._take_progress(stream, stream.follower.expire(event.earliest))
-        self._read_from(stream)
+        self._streams.read(event)
 
     def _handle_failed(self, event: messages.StreamFailed) -> None:
         if event.stream == self._decisions.name:
@@ -352,13 +321,10 @@
                 self._ctx.proposed.pop(proposal.body, None)
 
     def _handle_append_done(self, event: messages.AppendDone) -> None:
-        stream = self._streams[event.stream]
-        stream.appends.finish(event.acknowledged)
-        if not event.acknowledged:
-            stream.retry = self._now + APPEND_RETRY
+        self._streams.end_append(event, self._now)
 
     def _take_progress(
-        self, stream: _Stream, progress: follower_module.Progress
+        self, stream: logstreams.Stream, progress: follower_module.Progress
     ) -> None:
         if stream is self._decisions:
             self._take_decisions(progress)
@@ -436,10 +402,7 @@
                 logging.ERROR,
                 "the log has ended this incarnation of the process",
             )
-        elif (
-            self._decisions.appends.is_writer_shared
-            or self._config.appends.is_writer_shared
-        ):
+        elif self._streams.is_writer_shared:
             self._stop(logging.ERROR, "another process uses this incarnation")
 
     def _take_config(self, progress: follower_module.Progress) -> None:
@@ -461,70 +424,9 @@
         if progress.restored or progress.folded:
             self._needs_review = True
 
-    def _read_from(self, stream: _Stream) -> None:
-        self._actions.append(
-            messages.ReadStream(stream.name, stream.follower.read_from)
-        )
-
-    def _next_offsets(self) -> dict[ids.StreamName, ids.Offset]:
-        return {
-            name: stream.follower.next_offset
-            for name, stream in self._streams.items()
-        }
-
-    def _records_from(
-        self, name: ids.StreamName, offset: ids.Offset
-    ) -> tuple[tuple[ids.Offset, bytes], ...]:
-        stream = self._streams.get(name)
-        if stream is None:
-            return ()
-        return stream.follower.recent(offset, RECENT_BYTES) or ()
-
-    def _catch_up(self) -> None:
-        """Asks a peer for state that neither log nor snapshots give."""
-        for stream in self._streams.values():
-            if not stream.follower.is_catching_up:
-                continue
-            if self._now - stream.fetched < SNAPSHOT_FETCH_INTERVAL:
-                continue
-            address = self._exchange.pick_peer(self._now)
-            if address is not None:
-                stream.fetched = self._now
-                self._actions.append(
-                    messages.FetchSnapshot(address, stream.name)
-                )
-
-    def _propose_snapshots(self) -> None:
-        ctx = self._ctx
-        if not ctx.is_registered or not ctx.reading.is_current(self._now):
-            return
-        interval = ctx.settings.snapshot_interval
-        processes = max(1, len(ctx.ledger.writers))
-        for stream in self._streams.values():
-            if stream.follower.is_snapshot_due(self._now, interval, processes):
-                stream.appends.propose(stream.follower.snapshot())
-
-    def _handle_snapshot_wanted(self, event: messages.SnapshotWanted) -> None:
-        stream = self._streams.get(event.stream)
-        answer = ttypes.LogRecord(offset=ids.NO_OFFSET, data=b"")
-        if stream is not None and stream.follower.next_offset > 0:
-            body = stream.follower.snapshot()
-            answer = ttypes.LogRecord(
-                offset=body.covers_offset, data=body.state
-            )
-        self._actions.append(messages.Reply(event.token, answer))
-
     def _handle_snapshot(self, event: messages.SnapshotFetched) -> None:
-        stream = self._streams.get(event.stream)
-        if stream is None or not event.data:
-            return
-        before = stream.follower.read_from
-        progress = stream.follower.take_snapshot(event.offset, event.data)
-        self._take_progress(stream, progress)
-        if stream is self._config and progress.restored:
+        if self._streams.take_snapshot(event):
             self._ctx.is_config_read = True
-        if stream.follower.read_from != before:
-            self._read_from(stream)
 
     # ---- Targets -----------------------------------------------------------
 
@@ -580,7 +482,7 @@
             event.target, status.incarnation
         ):
             self._exchange.add_leaving_news()
-        self._placement.progress.poll(event.target, status, self._now)
+        self._placement.activity.poll(event.target, status, self._now)
         self._adapters.review(event.target, self._now)
         self._publish(event.target, status)
         self._needs_review = True
@@ -604,7 +506,7 @@
         item = self._ctx.membership.targets.get(target)
         if item is None or item.service_kind is messages.ServiceKind.PLAIN:
             return
-        unloading = self._placement.progress.unloading(target)
+        unloading = self._placement.activity.unloading(target)
         self._announced[target] = unloading
         if self._views.update(status, item, unloading):
             self._exchange.add_news(target)
@@ -618,7 +520,7 @@
         if order.adapter:
             self._adapters.answer_order(order, event.outcome, now)
         else:
-            self._placement.progress.answer_order(order, event.outcome, now)
+            self._placement.activity.answer_order(order, event.outcome, now)
         if order.action is not messages.OrderAction.FENCE:
             self._polls.hurry(order.target, now)
         self._needs_review = True
@@ -669,22 +571,9 @@
 
     def _handle_update(self, event: messages.UpdateReceived) -> None:
         if event.update is not None:
-            self._take_peer_records(event.update.records)
+            self._streams.take_peer_records(event.update.records)
         self._exchange.receive(event.address, event.update, self._now)
 
-    def _take_peer_records(self, rows_by_stream: dict[str, Any]) -> None:
-        for name, rows in rows_by_stream.items():
-            stream = self._streams.get(ids.StreamName(name))
-            if stream is None:
-                continue
-            before = stream.follower.read_from
-            progress = stream.follower.take_records(
-                [(row.offset, row.data) for row in rows]
-            )
-            self._take_progress(stream, progress)
-            if stream.follower.read_from != before:
-                self._read_from(stream)
-
     def _handle_ticket(self, event: messages.TicketSubmitted) -> None:
         self._submissions.submit(event, self._now)
 
@@ -728,7 +617,7 @@
 
     def _announce(self, target: ids.TargetId) -> None:
         """Tells at once when a slot starts or stops to be unloading."""
-        unloading = self._placement.progress.unloading(target)
+        unloading = self._placement.activity.unloading(target)
         if unloading == self._announced.get(target, set()):
             return
         status = self._leases.status(target)
@@ -738,9 +627,7 @@
     def _finish_step(self) -> None:
         self._end_drain()
         if not self._is_stopped:
-            for stream in self._streams.values():
-                if self._now >= stream.retry:
-                    self._start_append(stream)
+            self._streams.start_appends(self._now)
             self._exchange.flush(self._now)
         published = (
             self._routes.version,
@@ -751,11 +638,6 @@
             self._published = published
             self._actions.append(messages.RoutesChanged())
 
-    def _start_append(self, stream: _Stream) -> None:
-        batch = stream.appends.start()
-        if batch:
-            self._actions.append(messages.AppendRecords(stream.name, batch))
-
 
 def make_controller(
     settings: settings_module.ControlSettings,
--- a/src/quetzalgauge/loads.py
+++ b/src/quetzalgauge/loads.py
@@ -3,13 +3,13 @@
 import datetime
 import logging
 
+from quetzalgauge import activity as activity_module
 from quetzalgauge import context
 from quetzalgauge import ids
 from quetzalgauge import leases as leases_module
 from quetzalgauge import ledger as ledger_module
 from quetzalgauge import messages
 from quetzalgauge import plan as plan_module
-from quetzalgauge import progress as progress_module
 from quetzalgauge import records
 from quetzalgauge import rooms as rooms_module
 from quetzalgauge import views as views_module
@@ -27,13 +27,13 @@
         leases: leases_module.Leases,
         views: views_module.Views,
         rooms: rooms_module.Rooms,
-        progress: progress_module.Progress,
+        activity: activity_module.Activity,
     ) -> None:
         self._ctx = ctx
         self._leases = leases
         self._views = views
         self._rooms = rooms
-        self._progress = progress
+        self._activity = activity
         self._remote_starts: list[datetime.timedelta] = []
 
     def load(
@@ -67,7 +67,7 @@
             target_incarnation=status.incarnation,
         )
         place = (target, slot)
-        self._progress.started[place] = now
+        self._activity.started[place] = now
         if is_remote:
             self._remote_starts.append(now)
         address = ctx.membership.targets[target].address
@@ -85,9 +85,9 @@
         """Loads a reserved slot that nobody waits for; True if ordered."""
         self.load(target, slot, now)
         place = (target, slot)
-        if self._progress.started.get(place) != now:
+        if self._activity.started.get(place) != now:
             return False
-        self._progress.warmed[place] = now
+        self._activity.warmed[place] = now
         return True
 
     def keep_loaded(
@@ -120,15 +120,15 @@
             return False
         if any(model.slot == slot for model in status.models):
             return False
-        if place in self._progress.started or ctx.orders.awaits_answer(
+        if place in self._activity.started or ctx.orders.awaits_answer(
             target, slot
         ):
             return False
-        if now < self._progress.retry.get(place, context.LONG_AGO):
+        if now < self._activity.retry.get(place, context.LONG_AGO):
             return False
         if not self._leases.answered_lately(target, now):
             return False
-        if not self._progress.is_status_after_orders(target, slot):
+        if not self._activity.is_status_after_orders(target, slot):
             return False
         number = ctx.ledger.targets[target].fencing_number
         if ctx.is_proposed(records.Release(target, number, slot)):
@@ -157,8 +157,8 @@
                 target, replica.slot.model, replica.version
             )
         }
-        loading.update(self._progress.started)
-        needed = sum(place not in self._progress.warmed for place in loading)
+        loading.update(self._activity.started)
+        needed = sum(place not in self._activity.warmed for place in loading)
         # Loads that nobody waits for count too, but must not hold back the
         # first one that is needed: a load takes up to a minute.
         return needed == 0 or len(loading) < share
--- a/src/quetzalgauge/offers.py
+++ b/src/quetzalgauge/offers.py
@@ -3,11 +3,11 @@
 import dataclasses
 import datetime
 
+from quetzalgauge import activity as activity_module
 from quetzalgauge import context
 from quetzalgauge import demand as demand_module
 from quetzalgauge import ids
 from quetzalgauge import plan as plan_module
-from quetzalgauge import progress as progress_module
 from quetzalgauge import rooms as rooms_module
 from quetzalgauge import views as views_module
 from quetzalgauge.gen import ttypes
@@ -42,13 +42,13 @@
         views: views_module.Views,
         demands: demand_module.Demands,
         rooms: rooms_module.Rooms,
-        progress: progress_module.Progress,
+        activity: activity_module.Activity,
     ) -> None:
         self._ctx = ctx
         self._views = views
         self._demands = demands
         self._rooms = rooms
-        self._progress = progress
+        self._activity = activity
 
     def zones_for(
         self, servable: demand_module.Servable, now: datetime.timedelta
@@ -121,7 +121,7 @@
         }
         slots |= {
             slot.index
-            for target, slot in self._progress.started
+            for target, slot in self._activity.started
             if slot.model == servable.model
             and slot.availability_zone == zone
             and self._reserved_version(target, slot) == servable.version
@@ -158,7 +158,7 @@
         slots: list[ids.SlotId],
         servable: demand_module.Servable,
         now: datetime.timedelta,
-    ) -> progress_module.Place | None:
+    ) -> activity_module.Place | None:
         """Returns the first reserved slot that can be loaded.
 
         All processes agree on it, since the reservations come from the log.
@@ -172,7 +172,7 @@
                 continue
             if self._views.is_loaded(slot, target):
                 continue
-            if (target, slot) in self._progress.started:
+            if (target, slot) in self._activity.started:
                 continue
             if self._rooms.is_usable(target, now):
                 return target, slot
@@ -183,7 +183,7 @@
         slots: list[ids.SlotId],
         spec: plan_module.Spec,
         now: datetime.timedelta,
-    ) -> progress_module.Place | None:
+    ) -> activity_module.Place | None:
         """Returns the best target for a slot that has no reservation."""
         ctx = self._ctx
         for slot in slots:
--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -3,6 +3,7 @@
 import datetime
 import math
 
+from quetzalgauge import activity as activity_module
 from quetzalgauge import context
 from quetzalgauge import demand as demand_module
 from quetzalgauge import ids
@@ -11,7 +12,6 @@
 from quetzalgauge import messages
 from quetzalgauge import offers as offers_module
 from quetzalgauge import plan as plan_module
-from quetzalgauge import progress as progress_module
 from quetzalgauge import reservations as reservations_module
 from quetzalgauge import rooms as rooms_module
 from quetzalgauge import unloads as unloads_module
@@ -24,7 +24,7 @@
     """Decides on the slots of the targets that this process holds.
 
     Attributes:
-        progress: What is under way on the held targets.
+        activity: What is under way on the held targets.
         rooms: Which targets have room for a model.
         unloads: What leaves a held target.
         reservations: The reservations of the held targets.
@@ -41,21 +41,21 @@
         self._ctx = ctx
         self._leases = leases
         self._demands = demands
-        self.progress = progress_module.Progress(ctx, leases, demands)
+        self.activity = activity_module.Activity(ctx, leases, demands)
         self.rooms = rooms_module.Rooms(
-            ctx, leases, views, demands, self.progress
+            ctx, leases, views, demands, self.activity
         )
         self.unloads = unloads_module.Unloads(
-            ctx, leases, demands, self.progress
+            ctx, leases, demands, self.activity
         )
         self.reservations = reservations_module.Reservations(
-            ctx, leases, demands, self.rooms, self.unloads, self.progress
+            ctx, leases, demands, self.rooms, self.unloads, self.activity
         )
         self.loads = loads_module.Loads(
-            ctx, leases, views, self.rooms, self.progress
+            ctx, leases, views, self.rooms, self.activity
         )
         self._offers = offers_module.Offers(
-            ctx, views, demands, self.rooms, self.progress
+            ctx, views, demands, self.rooms, self.activity
         )
         self._sent: dict[
             tuple[ids.InstanceId, demand_module.Servable], datetime.timedelta
--- a/src/quetzalgauge/reservations.py
+++ b/src/quetzalgauge/reservations.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import datetime
 
+from quetzalgauge import activity as activity_module
 from quetzalgauge import context
 from quetzalgauge import demand as demand_module
 from quetzalgauge import ids
@@ -10,7 +11,6 @@
 from quetzalgauge import ledger as ledger_module
 from quetzalgauge import messages
 from quetzalgauge import plan as plan_module
-from quetzalgauge import progress as progress_module
 from quetzalgauge import records
 from quetzalgauge import rooms as rooms_module
 from quetzalgauge import unloads as unloads_module
@@ -33,14 +33,14 @@
         demands: demand_module.Demands,
         rooms: rooms_module.Rooms,
         unloads: unloads_module.Unloads,
-        progress: progress_module.Progress,
+        activity: activity_module.Activity,
     ) -> None:
         self._ctx = ctx
         self._leases = leases
         self._demands = demands
         self._rooms = rooms
         self._unloads = unloads
-        self._progress = progress
+        self._activity = activity
         self._reserved_at = context.LONG_AGO
         self._reserved_mark: tuple[int, ...] = ()
         self._next_slot = 0
@@ -212,7 +212,7 @@
         for reservation in idle:
             if wanted <= 0:
                 return
-            self._progress.evicted[(target, reservation.slot)] = (
+            self._activity.evicted[(target, reservation.slot)] = (
                 now + RESERVE_REFRESH
             )
             wanted -= reservation.memory_bytes
@@ -233,8 +233,8 @@
         if model.state is messages.ReplicaState.LOADING:
             return False
         return (
-            now - self._progress.last_used(target, model, now)
-            >= progress_module.MIN_IDLE
+            now - self._activity.last_used(target, model, now)
+            >= activity_module.MIN_IDLE
         )
 
     def _last_wanted(
--- a/src/quetzalgauge/rooms.py
+++ b/src/quetzalgauge/rooms.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from quetzalgauge import activity as activity_module
 from quetzalgauge import context
 from quetzalgauge import demand as demand_module
 from quetzalgauge import ids
@@ -9,7 +10,6 @@
 from quetzalgauge import ledger as ledger_module
 from quetzalgauge import messages
 from quetzalgauge import plan as plan_module
-from quetzalgauge import progress as progress_module
 from quetzalgauge import records
 from quetzalgauge import views as views_module
 
@@ -38,13 +38,13 @@
         leases: leases_module.Leases,
         views: views_module.Views,
         demands: demand_module.Demands,
-        progress: progress_module.Progress,
+        activity: activity_module.Activity,
     ) -> None:
         self._ctx = ctx
         self._leases = leases
         self._views = views
         self._demands = demands
-        self._progress = progress
+        self._activity = activity
 
     def is_usable(self, target: ids.TargetId, now: datetime.timedelta) -> bool:
         """Whether the target can take a load from its holder now."""
@@ -197,5 +197,5 @@
             slot.index >= least
             and not self._demands.is_waiting(servable)
             and not self._views.is_loaded(slot, target)
-            and (target, slot) not in self._progress.started
+            and (target, slot) not in self._activity.started
         )
--- a/src/quetzalgauge/unloads.py
+++ b/src/quetzalgauge/unloads.py
@@ -3,6 +3,7 @@
 import datetime
 import logging
 
+from quetzalgauge import activity as activity_module
 from quetzalgauge import context
 from quetzalgauge import demand as demand_module
 from quetzalgauge import ids
@@ -10,7 +11,6 @@
 from quetzalgauge import ledger as ledger_module
 from quetzalgauge import messages
 from quetzalgauge import plan as plan_module
-from quetzalgauge import progress as progress_module
 from quetzalgauge import records
 from quetzalgauge import rooms as rooms_module
 
@@ -29,12 +29,12 @@
         ctx: context.Context,
         leases: leases_module.Leases,
         demands: demand_module.Demands,
-        progress: progress_module.Progress,
+        activity: activity_module.Activity,
     ) -> None:
         self._ctx = ctx
         self._leases = leases
         self._demands = demands
-        self._progress = progress
+        self._activity = activity
 
     def review(self, target: ids.TargetId, now: datetime.timedelta) -> None:
         """Unloads and releases what should no longer be on a held target."""
@@ -54,7 +54,7 @@
             ):
                 self._unload(target, model, now)
             else:
-                self._progress.announced.pop((target, slot), None)
+                self._activity.announced.pop((target, slot), None)
         for slot, reservation in list(reservations.items()):
             if slot not in loaded and self._must_leave(
                 target, reservation, now
@@ -79,12 +79,12 @@
             return False
         if ctx.orders.in_flight(target, slot):
             return False
-        if not self._progress.is_status_after_orders(target, slot):
+        if not self._activity.is_status_after_orders(target, slot):
             return False
         number = ctx.ledger.targets[target].fencing_number
         ctx.propose(records.Release(target, number, slot))
-        self._progress.evicted.pop((target, slot), None)
-        self._progress.retry.pop((target, slot), None)
+        self._activity.evicted.pop((target, slot), None)
+        self._activity.retry.pop((target, slot), None)
         return True
 
     def _must_leave(
@@ -101,7 +101,7 @@
             return True
         if status is not None and status.draining:
             return True
-        if self._progress.evicted.get((target, slot), context.LONG_AGO) > now:
+        if self._activity.evicted.get((target, slot), context.LONG_AGO) > now:
             return True
         if not ctx.is_config_read:
             return False
@@ -132,7 +132,7 @@
             return True
         servable = demand_module.Servable(slot.model, reservation.version)
         wanted = self._demands.last_wanted(servable) or context.LONG_AGO
-        if now - wanted < progress_module.MIN_IDLE:
+        if now - wanted < activity_module.MIN_IDLE:
             return False
         if reservation.version != default.version:
             return True
@@ -160,9 +160,9 @@
             return model.state is messages.ReplicaState.UNLOADING
         if model.running or model.waiting:
             return False
-        idle = now - self._progress.last_used(target, model, now)
+        idle = now - self._activity.last_used(target, model, now)
         if self._is_only_warmed(target, model):
-            return idle > progress_module.MIN_IDLE
+            return idle > activity_module.MIN_IDLE
         tier = status.cached.get(
             (slot.model, model.version), messages.CacheTier.REMOTE
         )
@@ -170,13 +170,13 @@
         limit = datetime.timedelta(
             seconds=cost * ctx.settings.cold_start_weight
         )
-        return idle > max(progress_module.MIN_IDLE, limit)
+        return idle > max(activity_module.MIN_IDLE, limit)
 
     def _is_only_warmed(
         self, target: ids.TargetId, model: messages.ModelStatus
     ) -> bool:
         """Whether a model was loaded for the cache and not wanted since."""
-        warmed = self._progress.warmed.get((target, model.slot))
+        warmed = self._activity.warmed.get((target, model.slot))
         if warmed is None:
             return False
         servable = demand_module.Servable(model.model, model.version)
@@ -192,16 +192,16 @@
         """Announces an unload, and orders it once everyone could know."""
         ctx = self._ctx
         place = (target, model.slot)
-        since = self._progress.announced.setdefault(place, now)
+        since = self._activity.announced.setdefault(place, now)
         if model.state is messages.ReplicaState.UNLOADING:
             return
         if now - since < UNLOAD_NOTICE:
             return
         if ctx.orders.awaits_answer(target, model.slot):
             return
-        if now < self._progress.retry.get(place, context.LONG_AGO):
+        if now < self._activity.retry.get(place, context.LONG_AGO):
             return
-        if not self._progress.is_status_after_orders(target, model.slot):
+        if not self._activity.is_status_after_orders(target, model.slot):
             return
         if not self._leases.may_unload(target, now):
             return
