Move the dump and the choice of polls out of the controller

Cause: controller.py still described its state for operators and chose which targets are polled.

Ruled out: a dump method in each part, which would change its layout.

Change: controllerdump describes the state; polls.intervals says which targets are asked and how often.

The tests of control, controller, exchange, placement, leases, processes, ctl and operators pass (110). The full suite was not run for this commit.

Conclusion: no behaviour changed.

--- a/src/quetzalgauge/controller.py
+++ b/src/quetzalgauge/controller.py
@@ -13,6 +13,7 @@
 
 from quetzalgauge import adapters as adapters_module
 from quetzalgauge import context
+from quetzalgauge import controllerdump
 from quetzalgauge import demand as demand_module
 from quetzalgauge import exchange as exchange_module
 from quetzalgauge import follower as follower_module
@@ -32,7 +33,6 @@
 from quetzalgauge import submissions as submissions_module
 from quetzalgauge import views as views_module
 from quetzalgauge import warmup as warmup_module
-from quetzalgauge.gen import ttypes
 
 ZONE_INTERVAL = datetime.timedelta(seconds=1)
 # A record that the fold has rejected is not proposed again before the state
@@ -179,55 +179,7 @@
 
     def dump(self) -> dict[str, Any]:
         """Returns the state as JSON values, for operators."""
-        ctx = self._ctx
-        ledger = ctx.ledger
-        return {
-            "instance": ctx.writer.instance,
-            "incarnation": ctx.writer.incarnation,
-            "availability_zone": ctx.zone,
-            "registered": ctx.is_registered,
-            "draining": ctx.is_draining,
-            "log_reachable": ctx.reading.is_reachable,
-            "offsets": self._streams.next_offsets(),
-            "catalog_version": ctx.catalog.version,
-            "orders_in_flight": ctx.orders.count,
-            "proposals": len(self._decisions.appends.proposals()),
-            "writers": {
-                instance: writer.id.incarnation
-                for instance, writer in ledger.writers.items()
-            },
-            "targets": {
-                target: self._dump_target(target) for target in ledger.targets
-            },
-            "leaving": sorted(target for target, _ in ctx.membership.leaving),
-        }
-
-    def _dump_target(self, target: ids.TargetId) -> dict[str, Any]:
-        state = self._ctx.ledger.targets[target]
-        view = self._views.state(target)
-        return {
-            "incarnation": state.incarnation,
-            "availability_zone": state.availability_zone,
-            "holder": None if state.holder is None else state.holder.instance,
-            "fencing_number": state.fencing_number,
-            "open_numbers": sorted(state.open_numbers),
-            "reservations": {
-                str(slot): item.version
-                for slot, item in state.reservations.items()
-            },
-            "replicas": []
-            if view is None
-            else [
-                {
-                    "slot": str(views_module.slot_of(replica)),
-                    "version": replica.version,
-                    "state": ttypes.ReplicaState._VALUES_TO_NAMES[
-                        replica.state
-                    ].lower(),
-                }
-                for replica in view.replicas
-            ],
-        }
+        return controllerdump.describe(self._ctx, self._streams, self._views)
 
     # ---- Start, stop and time ----------------------------------------------
 
@@ -442,32 +394,9 @@
         self._needs_review = True
 
     def _choose_polls(self) -> None:
-        """Chooses the targets whose status this process asks for."""
-        ctx = self._ctx
-        membership = ctx.membership
-        held = set(self._leases.held())
-        intervals = {
-            target: polls_module.HELD_INTERVAL
-            for target in held
-            if membership.last_known(target) is not None
-        }
-        if not ctx.reading.is_current(self._now) or not ctx.is_registered:
-            for target in membership.engines(ctx.zone):
-                if self._leases.live_holder(target, self._now) is None:
-                    intervals[target] = polls_module.UNHELD_INTERVAL
-        for target in membership.plain_targets(ctx.zone):
-            if self._is_responsible(target):
-                intervals[target] = polls_module.HELD_INTERVAL
+        intervals = polls_module.intervals(self._ctx, self._leases, self._now)
         self._polls.choose(intervals, self._now)
 
-    def _is_responsible(self, target: ids.TargetId) -> bool:
-        """Whether this process reads the status of a plain service."""
-        own = context.weight(target, self._ctx.writer.instance)
-        return all(
-            context.weight(target, writer.id.instance) <= own
-            for writer in self._leases.live_writers()
-        )
-
     def _handle_polled(self, event: messages.TargetPolled) -> None:
         asked = self._polls.answered(event.target)
         status = event.status
--- a/src/quetzalgauge/polls.py
+++ b/src/quetzalgauge/polls.py
@@ -3,7 +3,9 @@
 import dataclasses
 import datetime
 
+from quetzalgauge import context
 from quetzalgauge import ids
+from quetzalgauge import leases as leases_module
 
 HELD_INTERVAL = datetime.timedelta(seconds=1)
 # Targets without a living holder are read by every process of the zone, so
@@ -86,3 +88,39 @@
         asked = row.asked
         row.asked = None
         return None if asked is None or asked.is_void else asked
+
+
+def intervals(
+    ctx: context.Context,
+    leases: leases_module.Leases,
+    now: datetime.timedelta,
+) -> dict[ids.TargetId, datetime.timedelta]:
+    """Returns the targets whose status this process asks for, how often."""
+    membership = ctx.membership
+    held = set(leases.held())
+    found = {
+        target: HELD_INTERVAL
+        for target in held
+        if membership.last_known(target) is not None
+    }
+    if not ctx.reading.is_current(now) or not ctx.is_registered:
+        for target in membership.engines(ctx.zone):
+            if leases.live_holder(target, now) is None:
+                found[target] = UNHELD_INTERVAL
+    for target in membership.plain_targets(ctx.zone):
+        if _is_responsible(target, ctx, leases):
+            found[target] = HELD_INTERVAL
+    return found
+
+
+def _is_responsible(
+    target: ids.TargetId,
+    ctx: context.Context,
+    leases: leases_module.Leases,
+) -> bool:
+    """Whether this process reads the status of a plain service."""
+    own = context.weight(target, ctx.writer.instance)
+    return all(
+        context.weight(target, writer.id.instance) <= own
+        for writer in leases.live_writers()
+    )
