--- a/src/quetzalgauge/gateway.py
+++ b/src/quetzalgauge/gateway.py
@@ -13,19 +13,13 @@
 from quetzalgauge import calls
 from quetzalgauge import drain
 from quetzalgauge import ids
+from quetzalgauge import marks
 from quetzalgauge import messages
 from quetzalgauge import refusals
 from quetzalgauge import retries
 from quetzalgauge import routetable
 from quetzalgauge import routing
 
-SUSPECT_TIME = datetime.timedelta(seconds=2)
-# A leaving target normally disappears from the routes within seconds. The
-# mark is limited in time because a restarted target may reuse the id.
-LEAVING_TIME = datetime.timedelta(seconds=30)
-OVERLOAD_BACKOFF = datetime.timedelta(milliseconds=250)
-# Routes lag behind an unload by a poll of the status and one sync.
-NOT_LOADED_BACKOFF = datetime.timedelta(seconds=1)
 # Used when the route does not say how many requests a replica runs at once.
 DEFAULT_MAX_RUNNING = 8
 # A resident adapter may be unloaded by its holder at any time; asking again
@@ -82,36 +76,6 @@
     caller_gone: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class _Marks:
-    """What this process saw of targets, each with the time it ends."""
-
-    suspect: dict[ids.TargetId, datetime.timedelta] = dataclasses.field(
-        default_factory=dict
-    )
-    leaving: dict[ids.TargetId, datetime.timedelta] = dataclasses.field(
-        default_factory=dict
-    )
-    backoff: dict[tuple[ids.TargetId, routing.Servable], datetime.timedelta] = (
-        dataclasses.field(default_factory=dict)
-    )
-
-    def expire(self, now: datetime.timedelta) -> None:
-        """Drops the marks that have ended."""
-        tables: tuple[dict[Any, datetime.timedelta], ...] = (
-            self.suspect,
-            self.leaving,
-            self.backoff,
-        )
-        for table in tables:
-            for key in [one for one, end in table.items() if end <= now]:
-                del table[key]
-
-    def excludes(self, target: ids.TargetId) -> bool:
-        """Whether a target gets nothing at the moment."""
-        return target in self.suspect or target in self.leaving
-
-
 class Gateway:
     """State of the core. One task owns it and calls `step`."""
 
@@ -130,7 +94,7 @@
         self._service_times: dict[routing.Servable, admission.ServiceTime] = {}
         self._in_flight: dict[ids.TargetId, int] = {}
         self._running: dict[tuple[ids.TargetId, routing.Servable], int] = {}
-        self._marks = _Marks()
+        self._marks = marks.Marks()
         self._resident: dict[
             tuple[ids.TargetId, ids.AdapterName], datetime.timedelta
         ] = {}
@@ -457,7 +421,9 @@
             else:
                 code = refusals.Code.NO_TARGET
                 text = "no target is available"
-            return [self._refuse(token, code, text, retry_after=SUSPECT_TIME)]
+            return [
+                self._refuse(token, code, text, retry_after=marks.SUSPECT_TIME)
+            ]
         return self._start(token, call, candidate, now)
 
     def _start(
@@ -774,26 +740,12 @@
         if call.target is None:
             return
         target = call.target.target
-        if failure in (
-            retries.Failure.UNREACHABLE,
-            retries.Failure.SILENT,
-            retries.Failure.CUT,
-            retries.Failure.MISMATCH,
+        self._marks.note_failure(failure, target, call.servable, now)
+        if (
+            failure is retries.Failure.ADAPTER_NOT_LOADED
+            and call.adapter is not None
         ):
-            self._marks.suspect[target] = now + SUSPECT_TIME
-        elif failure is retries.Failure.DRAINING:
-            self._marks.leaving[target] = now + LEAVING_TIME
-        elif call.servable is not None:
-            key = (target, call.servable)
-            if failure is retries.Failure.OVERLOADED:
-                self._marks.backoff[key] = now + OVERLOAD_BACKOFF
-            elif failure is retries.Failure.MODEL_NOT_LOADED:
-                self._marks.backoff[key] = now + NOT_LOADED_BACKOFF
-            elif (
-                failure is retries.Failure.ADAPTER_NOT_LOADED
-                and call.adapter is not None
-            ):
-                self._resident.pop((target, call.adapter), None)
+            self._resident.pop((target, call.adapter), None)
 
     def _leave_target(
         self, call: _Call, now: datetime.timedelta
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,6 +16,7 @@
 from quetzalgauge import calls
 from quetzalgauge import gateway
 from quetzalgauge import ids
+from quetzalgauge import marks
 from quetzalgauge import messages
 from quetzalgauge import refusals
 from quetzalgauge import retries
@@ -321,7 +322,7 @@
         modules = {
             "admission": admission,
             "gateway": gateway.Gateway,
-            "marks": gateway._Marks,
+            "marks": marks.Marks,
             "retries": retries,
             "drain": gateway.drain.Drain,
         }
