--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint format demo fault-matrix bench report generate clean
+.PHONY: setup test lint format demo fault-matrix bench report slopes soak generate clean
 
 setup: $(STAMP)
 
@@ -31,12 +31,20 @@
 fault-matrix: setup
 	$(BIN)/python tools/fault_matrix.py
 
+slopes: setup
+	$(BIN)/python tools/slopes.py
+
 bench: setup
 	$(BIN)/python tools/bench_streams.py
 
 report: setup
 	$(BIN)/python tools/policy_report.py
 
+SEED ?= 1
+MINUTES ?= 10
+soak: setup
+	$(BIN)/python tools/soak.py --seed $(SEED) --minutes $(MINUTES)
+
 # Needs the Debian package thrift-compiler. The result is committed, so that a
 # build needs no generator.
 generate:
