--- a/src/quetzalgauge/controller.py
+++ b/src/quetzalgauge/controller.py
@@ -12,14 +12,15 @@
 from typing import Any
 
 from quetzalgauge import adapters as adapters_module
-from quetzalgauge import appends as appends_module
 from quetzalgauge import context
+from quetzalgauge import controllerdump
 from quetzalgauge import demand as demand_module
 from quetzalgauge import exchange as exchange_module
 from quetzalgauge import follower as follower_module
 from quetzalgauge import ids
 from quetzalgauge import keys as keys_module
 from quetzalgauge import leases as leases_module
+from quetzalgauge import logstreams
 from quetzalgauge import membership as membership_module
 from quetzalgauge import messages
 from quetzalgauge import orders as orders_module
@@ -32,15 +33,11 @@
 from quetzalgauge import submissions as submissions_module
 from quetzalgauge import views as views_module
 from quetzalgauge import warmup as warmup_module
-from quetzalgauge.gen import ttypes
 
 ZONE_INTERVAL = datetime.timedelta(seconds=1)
-APPEND_RETRY = datetime.timedelta(milliseconds=500)
 # A record that the fold has rejected is not proposed again before the state
 # that led to it had time to change.
 REJECTED_PAUSE = datetime.timedelta(seconds=1)
-SNAPSHOT_FETCH_INTERVAL = datetime.timedelta(seconds=2)
-RECENT_BYTES = 128 * 1024
 # About one lease duration. A drain that waits only for the log ends when the
 # log has not answered for this long; successors close the open numbers with
 # WRITER_GONE.
@@ -51,17 +48,6 @@
 _PART = "control"
 
 
-@dataclasses.dataclass(slots=True)
-class _Stream:
-    """One stream: the fold and the own proposals."""
-
-    name: ids.StreamName
-    follower: Any
-    appends: appends_module.Appends
-    retry: datetime.timedelta = datetime.timedelta()
-    fetched: datetime.timedelta = datetime.timedelta()
-
-
 class Controller:
     """The state of a control process. Use `make_controller`."""
 
@@ -74,19 +60,11 @@
         writer = ids.WriterId(ids.InstanceId(settings.instance), incarnation)
         region = ids.Region(settings.region)
         self._actions: list[messages.Action] = []
-        self._decisions = _Stream(
-            ids.decision_stream(region),
-            follower_module.make_decision_follower(random),
-            appends_module.make_appends(writer),
+        self._streams = logstreams.LogStreams(
+            writer, region, random, self._actions.append, self._take_progress
         )
-        self._config = _Stream(
-            ids.CONFIG_STREAM,
-            follower_module.make_config_follower(random),
-            appends_module.make_appends(writer),
-        )
-        self._streams = {
-            stream.name: stream for stream in (self._decisions, self._config)
-        }
+        self._decisions = self._streams.decisions
+        self._config = self._streams.config
         self._rejected: dict[records.Body, datetime.timedelta] = {}
         self._ctx = context.Context(
             settings=settings,
@@ -116,7 +94,10 @@
             ctx, self._propose_ticket
         )
         self._exchange = exchange_module.Exchange(
-            ctx, self._views, self._next_offsets, self._records_from
+            ctx,
+            self._views,
+            self._streams.next_offsets,
+            self._streams.records_from,
         )
         self._polls = polls_module.Polls()
         self._routes = routes_module.Routes(ctx, self._views)
@@ -133,7 +114,7 @@
         self._handlers: dict[type, Callable[[Any], None]] = {
             messages.Tick: self._handle_tick,
             messages.StreamRead: self._handle_read,
-            messages.StreamExpired: self._handle_expired,
+            messages.StreamExpired: self._streams.expire,
             messages.StreamFailed: self._handle_failed,
             messages.AppendDone: self._handle_append_done,
             messages.InstancesListed: self._handle_instances,
@@ -149,7 +130,7 @@
             messages.OutcomeWanted: self._handle_outcome_wanted,
             messages.OutcomeFetched: self._handle_outcome_fetched,
             messages.AdapterRequested: self._handle_adapter,
-            messages.SnapshotWanted: self._handle_snapshot_wanted,
+            messages.SnapshotWanted: self._streams.answer_snapshot,
             messages.SnapshotFetched: self._handle_snapshot,
             messages.DrainRequested: self._handle_drain,
             messages.TargetDrainRequested: self._handle_target_drain,
@@ -198,71 +179,18 @@
             or ctx.orders.count
             or not self._keys.is_idle
             or not self._adapters.is_idle
-            or not self._decisions.appends.is_idle
-            or not self._config.appends.is_idle
+            or not self._streams.is_idle
         )
 
     def dump(self) -> dict[str, Any]:
         """Returns the state as JSON values, for operators."""
-        ctx = self._ctx
-        ledger = ctx.ledger
-        return {
-            "instance": ctx.writer.instance,
-            "incarnation": ctx.writer.incarnation,
-            "availability_zone": ctx.zone,
-            "registered": ctx.is_registered,
-            "draining": ctx.is_draining,
-            "log_reachable": ctx.reading.is_reachable,
-            "offsets": {
-                name: stream.follower.next_offset
-                for name, stream in self._streams.items()
-            },
-            "catalog_version": ctx.catalog.version,
-            "orders_in_flight": ctx.orders.count,
-            "proposals": len(self._decisions.appends.proposals()),
-            "writers": {
-                instance: writer.id.incarnation
-                for instance, writer in ledger.writers.items()
-            },
-            "targets": {
-                target: self._dump_target(target) for target in ledger.targets
-            },
-            "leaving": sorted(target for target, _ in ctx.membership.leaving),
-        }
-
-    def _dump_target(self, target: ids.TargetId) -> dict[str, Any]:
-        state = self._ctx.ledger.targets[target]
-        view = self._views.state(target)
-        return {
-            "incarnation": state.incarnation,
-            "availability_zone": state.availability_zone,
-            "holder": None if state.holder is None else state.holder.instance,
-            "fencing_number": state.fencing_number,
-            "open_numbers": sorted(state.open_numbers),
-            "reservations": {
-                str(slot): item.version
-                for slot, item in state.reservations.items()
-            },
-            "replicas": []
-            if view is None
-            else [
-                {
-                    "slot": str(views_module.slot_of(replica)),
-                    "version": replica.version,
-                    "state": ttypes.ReplicaState._VALUES_TO_NAMES[
-                        replica.state
-                    ].lower(),
-                }
-                for replica in view.replicas
-            ],
-        }
+        return controllerdump.describe(self._ctx, self._streams, self._views)
 
     # ---- Start, stop and time ----------------------------------------------
 
     def _start(self) -> None:
         self._is_started = True
-        for stream in self._streams.values():
-            self._read_from(stream)
+        self._streams.start()
         self._register()
 
     def _register(self) -> None:
@@ -290,8 +218,8 @@
             self._zone_reviewed = now
             self._leases.review_zone(now)
             self._choose_polls()
-            self._catch_up()
-            self._propose_snapshots()
+            self._streams.catch_up(self._exchange.pick_peer, now)
+            self._streams.propose_snapshots(ctx, now)
             self._drop_views()
             self._rejected = {
                 body: until
@@ -299,7 +227,7 @@
                 if now < until
             }
         for target in self._leases.held():
-            if self._placement.is_changing(target):
+            if self._placement.activity.is_changing(target):
                 self._polls.hurry(target, now)
         self._needs_review = True
 
@@ -351,16 +279,9 @@
         self._config.appends.propose(ticket)
 
     def _handle_read(self, event: messages.StreamRead) -> None:
-        stream = self._streams[event.stream]
-        if stream is self._decisions:
+        if event.stream == self._decisions.name:
             self._ctx.reading.succeed(self._now)
-        progress = stream.follower.read(event.records, event.next_offset)
-        self._take_progress(stream, progress)
-
-    def _handle_expired(self, event: messages.StreamExpired) -> None:
-        stream = self._streams[event.stream]
-        self._take_progress(stream, stream.follower.expire(event.earliest))
-        self._read_from(stream)
+        self._streams.read(event)
 
     def _handle_failed(self, event: messages.StreamFailed) -> None:
         if event.stream == self._decisions.name:
@@ -380,13 +301,10 @@
                 self._ctx.proposed.pop(proposal.body, None)
 
     def _handle_append_done(self, event: messages.AppendDone) -> None:
-        stream = self._streams[event.stream]
-        stream.appends.finish(event.acknowledged)
-        if not event.acknowledged:
-            stream.retry = self._now + APPEND_RETRY
+        self._streams.end_append(event, self._now)
 
     def _take_progress(
-        self, stream: _Stream, progress: follower_module.Progress
+        self, stream: logstreams.Stream, progress: follower_module.Progress
     ) -> None:
         if stream is self._decisions:
             self._take_decisions(progress)
@@ -400,7 +318,7 @@
             self._settle_proposals()
             self._leases.restore(self._now)
             self._keys.resolve_all(self._now)
-            self._placement.note_change()
+            self._placement.reservations.note_change()
             self._needs_review = True
         for folded in progress.folded:
             if folded.envelope is not None:
@@ -432,7 +350,7 @@
         ):
             self._choose_polls()
             self._polls.void(body.target, self._now)
-        self._placement.note_change()
+        self._placement.reservations.note_change()
         self._needs_review = True
 
     def _end_proposal(self, body: records.Body, is_accepted: bool) -> None:
@@ -464,10 +382,7 @@
                 logging.ERROR,
                 "the log has ended this incarnation of the process",
             )
-        elif (
-            self._decisions.appends.is_writer_shared
-            or self._config.appends.is_writer_shared
-        ):
+        elif self._streams.is_writer_shared:
             self._stop(logging.ERROR, "another process uses this incarnation")
 
     def _take_config(self, progress: follower_module.Progress) -> None:
@@ -489,70 +404,9 @@
         if progress.restored or progress.folded:
             self._needs_review = True
 
-    def _read_from(self, stream: _Stream) -> None:
-        self._actions.append(
-            messages.ReadStream(stream.name, stream.follower.read_from)
-        )
-
-    def _next_offsets(self) -> dict[ids.StreamName, ids.Offset]:
-        return {
-            name: stream.follower.next_offset
-            for name, stream in self._streams.items()
-        }
-
-    def _records_from(
-        self, name: ids.StreamName, offset: ids.Offset
-    ) -> tuple[tuple[ids.Offset, bytes], ...]:
-        stream = self._streams.get(name)
-        if stream is None:
-            return ()
-        return stream.follower.recent(offset, RECENT_BYTES) or ()
-
-    def _catch_up(self) -> None:
-        """Asks a peer for state that neither log nor snapshots give."""
-        for stream in self._streams.values():
-            if not stream.follower.is_catching_up:
-                continue
-            if self._now - stream.fetched < SNAPSHOT_FETCH_INTERVAL:
-                continue
-            address = self._exchange.pick_peer(self._now)
-            if address is not None:
-                stream.fetched = self._now
-                self._actions.append(
-                    messages.FetchSnapshot(address, stream.name)
-                )
-
-    def _propose_snapshots(self) -> None:
-        ctx = self._ctx
-        if not ctx.is_registered or not ctx.reading.is_current(self._now):
-            return
-        interval = ctx.settings.snapshot_interval
-        processes = max(1, len(ctx.ledger.writers))
-        for stream in self._streams.values():
-            if stream.follower.is_snapshot_due(self._now, interval, processes):
-                stream.appends.propose(stream.follower.snapshot())
-
-    def _handle_snapshot_wanted(self, event: messages.SnapshotWanted) -> None:
-        stream = self._streams.get(event.stream)
-        answer = ttypes.LogRecord(offset=ids.NO_OFFSET, data=b"")
-        if stream is not None and stream.follower.next_offset > 0:
-            body = stream.follower.snapshot()
-            answer = ttypes.LogRecord(
-                offset=body.covers_offset, data=body.state
-            )
-        self._actions.append(messages.Reply(event.token, answer))
-
     def _handle_snapshot(self, event: messages.SnapshotFetched) -> None:
-        stream = self._streams.get(event.stream)
-        if stream is None or not event.data:
-            return
-        before = stream.follower.read_from
-        progress = stream.follower.take_snapshot(event.offset, event.data)
-        self._take_progress(stream, progress)
-        if stream is self._config and progress.restored:
+        if self._streams.take_snapshot(event):
             self._ctx.is_config_read = True
-        if stream.follower.read_from != before:
-            self._read_from(stream)
 
     # ---- Targets -----------------------------------------------------------
 
@@ -563,37 +417,14 @@
             return
         if len(membership.leaving) > leaving:
             self._exchange.add_leaving_news()
-        self._placement.note_change()
+        self._placement.reservations.note_change()
         self._choose_polls()
         self._needs_review = True
 
     def _choose_polls(self) -> None:
-        """Chooses the targets whose status this process asks for."""
-        ctx = self._ctx
-        membership = ctx.membership
-        held = set(self._leases.held())
-        intervals = {
-            target: polls_module.HELD_INTERVAL
-            for target in held
-            if membership.last_known(target) is not None
-        }
-        if not ctx.reading.is_current(self._now) or not ctx.is_registered:
-            for target in membership.engines(ctx.zone):
-                if self._leases.live_holder(target, self._now) is None:
-                    intervals[target] = polls_module.UNHELD_INTERVAL
-        for target in membership.plain_targets(ctx.zone):
-            if self._is_responsible(target):
-                intervals[target] = polls_module.HELD_INTERVAL
+        intervals = polls_module.intervals(self._ctx, self._leases, self._now)
         self._polls.choose(intervals, self._now)
 
-    def _is_responsible(self, target: ids.TargetId) -> bool:
-        """Whether this process reads the status of a plain service."""
-        own = context.weight(target, self._ctx.writer.instance)
-        return all(
-            context.weight(target, writer.id.instance) <= own
-            for writer in self._leases.live_writers()
-        )
-
     def _handle_polled(self, event: messages.TargetPolled) -> None:
         asked = self._polls.answered(event.target)
         status = event.status
@@ -608,7 +439,7 @@
             event.target, status.incarnation
         ):
             self._exchange.add_leaving_news()
-        self._placement.poll(event.target, status, self._now)
+        self._placement.activity.poll(event.target, status, self._now)
         self._adapters.review(event.target, self._now)
         self._publish(event.target, status)
         self._needs_review = True
@@ -632,7 +463,7 @@
         item = self._ctx.membership.targets.get(target)
         if item is None or item.service_kind is messages.ServiceKind.PLAIN:
             return
-        unloading = self._placement.unloading(target)
+        unloading = self._placement.activity.unloading(target)
         self._announced[target] = unloading
         if self._views.update(status, item, unloading):
             self._exchange.add_news(target)
@@ -646,7 +477,7 @@
         if order.adapter:
             self._adapters.answer_order(order, event.outcome, now)
         else:
-            self._placement.answer_order(order, event.outcome, now)
+            self._placement.activity.answer_order(order, event.outcome, now)
         if order.action is not messages.OrderAction.FENCE:
             self._polls.hurry(order.target, now)
         self._needs_review = True
@@ -700,22 +531,9 @@
 
     def _handle_update(self, event: messages.UpdateReceived) -> None:
         if event.update is not None:
-            self._take_peer_records(event.update.records)
+            self._streams.take_peer_records(event.update.records)
         self._exchange.receive(event.address, event.update, self._now)
 
-    def _take_peer_records(self, rows_by_stream: dict[str, Any]) -> None:
-        for name, rows in rows_by_stream.items():
-            stream = self._streams.get(ids.StreamName(name))
-            if stream is None:
-                continue
-            before = stream.follower.read_from
-            progress = stream.follower.take_records(
-                [(row.offset, row.data) for row in rows]
-            )
-            self._take_progress(stream, progress)
-            if stream.follower.read_from != before:
-                self._read_from(stream)
-
     def _handle_ticket(self, event: messages.TicketSubmitted) -> None:
         self._submissions.submit(event, self._now)
 
@@ -748,9 +566,9 @@
         if self._needs_review:
             self._leases.review_held(now)
             for target in self._leases.held():
-                self._placement.review_target(target, now)
+                self._placement.unloads.review(target, now)
                 self._announce(target)
-            self._placement.review_reservations(now)
+            self._placement.reservations.review(now)
             if ctx.settings.warm_checkpoints:
                 self._warmup.review(now)
         if self._needs_review or self._needs_loads:
@@ -764,7 +582,7 @@
 
     def _announce(self, target: ids.TargetId) -> None:
         """Tells at once when a slot starts or stops to be unloading."""
-        unloading = self._placement.unloading(target)
+        unloading = self._placement.activity.unloading(target)
         if unloading == self._announced.get(target, set()):
             return
         status = self._leases.status(target)
@@ -774,9 +592,7 @@
     def _finish_step(self) -> None:
         self._end_drain()
         if not self._is_stopped:
-            for stream in self._streams.values():
-                if self._now >= stream.retry:
-                    self._start_append(stream)
+            self._streams.start_appends(self._now)
             self._exchange.flush(self._now)
         published = (
             self._routes.version,
@@ -787,11 +603,6 @@
             self._published = published
             self._actions.append(messages.RoutesChanged())
 
-    def _start_append(self, stream: _Stream) -> None:
-        batch = stream.appends.start()
-        if batch:
-            self._actions.append(messages.AppendRecords(stream.name, batch))
-
 
 def make_controller(
     settings: settings_module.ControlSettings,
--- a/src/quetzalgauge/leases.py
+++ b/src/quetzalgauge/leases.py
@@ -33,7 +33,6 @@
 _MAX_CLAIMS = 20
 
 _PART = "leases"
-_LONG_AGO = datetime.timedelta(days=-1)
 
 
 class Leases:
@@ -63,11 +62,11 @@
         ] = {}
         self._marks: dict[ids.TargetId, int] = {}
         self._renew_sent: datetime.timedelta | None = None
-        self._confirmed: datetime.timedelta = _LONG_AGO
+        self._confirmed: datetime.timedelta = context.LONG_AGO
         self._claim_sent: dict[ids.TargetId, datetime.timedelta] = {}
         self._claim_confirmed: dict[ids.TargetId, datetime.timedelta] = {}
         self._system_incarnations: dict[ids.InstanceId, int] = {}
-        self._rebalanced = _LONG_AGO
+        self._rebalanced = context.LONG_AGO
         self._rebalance_pause = REBALANCE_INTERVAL
 
     # ---- What others ask ---------------------------------------------------
@@ -100,7 +99,7 @@
         if state.checks_fencing:
             return True
         confirmed = max(
-            self._confirmed, self._claim_confirmed.get(target, _LONG_AGO)
+            self._confirmed, self._claim_confirmed.get(target, context.LONG_AGO)
         )
         return now - confirmed < self._ctx.settings.lease_duration
 
@@ -139,7 +138,7 @@
             return False
         seen = max(
             self._claims.setdefault(target, now),
-            self._renewals.get(state.holder, _LONG_AGO),
+            self._renewals.get(state.holder, context.LONG_AGO),
             ctx.reading.since or now,
         )
         return now - seen >= ctx.settings.lease_duration
@@ -201,7 +200,7 @@
                 self._statuses.pop(body.target, None)
                 self._marks.pop(body.target, None)
                 self._claim_confirmed[body.target] = self._claim_sent.get(
-                    body.target, _LONG_AGO
+                    body.target, context.LONG_AGO
                 )
         elif isinstance(body, records.Register):
             # A process that has just started takes its share.
@@ -365,7 +364,7 @@
         number = ctx.ledger.targets[target].fencing_number
         if target in self._fencing or self._refused.get(target) == number:
             return
-        if now < self._fence_after.get(target, _LONG_AGO):
+        if now < self._fence_after.get(target, context.LONG_AGO):
             return
         order = messages.Order(
             order_id=ctx.orders.next_id(),
