Wait for the other try when a claim turns out to be lost

Cause: a second try whose control process had not read the first claim proposed its own and kept the short limit of an unconfirmed claim (3 s), also after it had read that another process has the key. It was then refused log_unavailable, not_run, although the first try may have run. Ruled out: the killed entry process and compression; the reply came from the limit of the claim. Change: a request whose key another process has waits until its own deadline and is never answered 'not run'. Conclusion: 'not run' holds for repetitions across entry instances too.

--- a/src/quetzalgauge/keys.py
+++ b/src/quetzalgauge/keys.py
@@ -38,12 +38,17 @@
 class _Waiter:
     """A request that waits for a decision about its key.
 
-    `may_run` is true for the one request that this process claims the key for.
+    Attributes:
+        deadline: When it is answered at the latest. Earlier than the request's
+            deadline while nobody is known to have the key.
+        request_deadline: The request's own deadline.
+        may_run: Whether this process claims the key for this request.
     """
 
     token: Any
     entry: ids.EntryId
     deadline: datetime.timedelta
+    request_deadline: datetime.timedelta
     may_run: bool = False
 
 
@@ -123,7 +128,7 @@
         deadline = event.deadline
         if claim is None:
             deadline = min(deadline, now + CLAIM_TIMEOUT)
-        waiter = _Waiter(event.token, event.entry, deadline)
+        waiter = _Waiter(event.token, event.entry, deadline, event.deadline)
         self._waiters.setdefault(event.key, []).append(waiter)
         self._resolve(event.key, now)
 
@@ -219,6 +224,11 @@
             # the release would also undo a later claim.
             if self._claims.get(key) is _State.PROPOSED:
                 del self._claims[key]
+            for waiter in waiters:
+                # Another try has the key and may have run, so this one waits
+                # for its outcome and is never answered "not run".
+                waiter.may_run = False
+                waiter.deadline = waiter.request_deadline
             self._fetch(key, claim.writer, now)
 
     def _claim(self, key: ids.KeyHash, waiters: list[_Waiter]) -> None:
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -70,6 +70,31 @@
     assert sorted(found) == sorted([RUN] + [UNKNOWN] * 3)
 
 
+@pytest.mark.covers("reorder", "request")
+def test_claim_that_another_try_turns_out_to_have_is_not_refused_as_not_run(
+    world,
+):
+    """Guards against "not run" for a key whose first try runs.
+
+    The second process had not read the first claim when it proposed its own.
+    It gave up after CLAIM_TIMEOUT and answered that the log was unavailable.
+    """
+    read = world._read
+    world._read = lambda name, stream, tick: (
+        name == "node-1" or read(name, stream, tick)
+    )
+    claim(world, "node-0", 7, "a")
+    world.run(1)
+    assert decisions(world, "a") == [RUN]
+    claim(world, "node-1", 7, "b", seconds=8)
+    world._read = read
+    world.run(keys.CLAIM_TIMEOUT.total_seconds() + 0.5)
+    assert "b" not in world.replies
+    store(world, "node-0", 7)
+    world.run(2)
+    assert decisions(world, "b") == [STORED]
+
+
 @pytest.mark.covers("crash", "request")
 def test_outcome_of_a_restarted_process_is_unknown(world):
     """Guards against a second run after the outcome was lost."""
