Divide a zone's share of the weight store among its holders

Cause: each holder counted the loads of the zone from its views, which show the loads of other holders only after a poll and an exchange. Holders that started at once went up to the limit times their number. Ruled out: a delay before every load (it would add to each cold start); a log record per load (exact, but one more append and record kind). Change: storeshare.py gives each holder a fixed part of the zone's share; a holder takes a free place beyond it only after a wait that differs by rank. Conclusion: the limit holds at the sizes of today; with more holders than the share, holders that borrow in the same half second can still exceed it.

--- a/src/quetzalgauge/loads.py
+++ b/src/quetzalgauge/loads.py
@@ -12,8 +12,8 @@
 from quetzalgauge import plan as plan_module
 from quetzalgauge import records
 from quetzalgauge import rooms as rooms_module
+from quetzalgauge import storeshare as storeshare_module
 from quetzalgauge import views as views_module
-from quetzalgauge.gen import ttypes
 
 _PART = "placement"
 
@@ -31,10 +31,9 @@
     ) -> None:
         self._ctx = ctx
         self._leases = leases
-        self._views = views
         self._rooms = rooms
         self._activity = activity
-        self._remote_starts: list[datetime.timedelta] = []
+        self._share = storeshare_module.StoreShare(ctx, leases, views, activity)
 
     def load(
         self,
@@ -53,7 +52,7 @@
             return
         key = (slot.model, reservation.version)
         is_remote = key not in status.cached
-        if is_remote and not self._takes_share(now):
+        if is_remote and not self._share.allows(now):
             return
         order = messages.Order(
             order_id=ctx.orders.next_id(),
@@ -69,7 +68,7 @@
         place = (target, slot)
         self._activity.started[place] = now
         if is_remote:
-            self._remote_starts.append(now)
+            self._share.note_start(now)
         address = ctx.membership.targets[target].address
         ctx.write_log(
             _PART, logging.INFO, "load", target=target, slot=str(slot)
@@ -138,54 +137,9 @@
         )
         return slot.index < most
 
-    def _takes_share(self, now: datetime.timedelta) -> bool:
-        """Whether the zone's share of the weight store allows a load."""
-        ctx = self._ctx
-        share = zone_share(ctx.ledger, ctx.settings.loads_at_once, ctx.zone)
-        second = now - datetime.timedelta(seconds=1)
-        self._remote_starts = [
-            start for start in self._remote_starts if start > second
-        ]
-        if len(self._remote_starts) >= share:
-            return False
-        loading = {
-            (target, views_module.slot_of(replica))
-            for target in ctx.membership.engines(ctx.zone)
-            for replica in self._replicas_on(target)
-            if replica.state == ttypes.ReplicaState.LOADING
-            and not self._views.is_cached(
-                target, replica.slot.model, replica.version
-            )
-        }
-        loading.update(self._activity.started)
-        needed = sum(place not in self._activity.warmed for place in loading)
-        # Loads that nobody waits for count too, but must not hold back the
-        # first one that is needed: a load takes up to a minute.
-        return needed == 0 or len(loading) < share
-
-    def _replicas_on(self, target: ids.TargetId) -> list:
-        state = self._views.state(target)
-        return [] if state is None else state.replicas
-
 
 def is_reserved(
     ledger: ledger_module.Ledger, target: ids.TargetId, slot: ids.SlotId
 ) -> bool:
     """Whether a slot is reserved on a target. No load goes out without."""
     return slot in ledger.reservations(target)
-
-
-def zone_share(
-    ledger: ledger_module.Ledger, total: int, zone: ids.AvailabilityZone
-) -> int:
-    """Returns a zone's share of a region's limit, at least 1.
-
-    The zones are those with a registered control process; the remainder goes
-    to the zones that are first in name order.
-    """
-    zones = sorted(
-        {writer.availability_zone for writer in ledger.writers.values()}
-        | {zone}
-    )
-    share, remainder = divmod(total, len(zones))
-    return max(1, share + (zones.index(zone) < remainder))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,10 +5,10 @@
 import pytest
 
 from quetzalgauge import ids
-from quetzalgauge import loads
 from quetzalgauge import messages
 from quetzalgauge import offers
 from quetzalgauge import records
+from quetzalgauge import storeshare
 from quetzalgauge import unloads
 from quetzalgauge.gen import ttypes
 
@@ -264,7 +264,7 @@
     world.start("node-11", zone="uy-south-c")
     world.run(2)
     zones = ("uy-south-a", "uy-south-b", "uy-south-c")
-    shares = [loads.zone_share(world.ledger, 4, zone) for zone in zones]
+    shares = [storeshare.zone_share(world.ledger, 4, zone) for zone in zones]
     assert shares == [2, 1, 1]
 
 
@@ -660,3 +660,38 @@
     assert messages.OrderAction.LOAD in fault.hits
     world.run_until(lambda: control_faults.ready_everywhere(world), 60)
     assert count_loads(world) == 1
+
+
+@pytest.mark.parametrize("instances", [1, 2, 4])
+def test_holders_that_start_at_once_stay_within_the_share(instances):
+    """Guards against a store limit that each holder counts for itself.
+
+    Views of other holders' loads arrive only after their status was polled.
+    """
+    models = {f"model-{i}": {"mib": 900} for i in range(8)}
+    world = control_fakes.World()
+    for index in range(8):
+        world.add_target(f"lm-{index}").load_seconds = 5.0
+    for index in range(instances):
+        world.start(f"node-{index}", warm_checkpoints=False)
+    world.ticket(1, models)
+    world.run(20)
+    holders = {world.holder(name) for name in world.targets}
+    assert len(holders) == instances
+    assert not world.loaded()
+    for name in world.controllers:
+        for model in models:
+            world.want(name, model)
+    most = 0
+    for _ in range(40):
+        world.run(0.25)
+        now = world.clock()
+        most = max(
+            most,
+            sum(
+                replica.state is messages.ReplicaState.LOADING
+                for target in world.targets.values()
+                for replica in target.status(now).models
+            ),
+        )
+    assert most <= 4
