Review demand and idle targets less often in the control core

Cause: every report of demand and every status poll started a review of all waiting models and all held targets, about 30 reviews a second and node. Ruled out: a longer tick (cold starts would wait for it). Change: a report is served at once for models that were not served since the last tick, and a status that shows nothing new waits for the tick. Conclusion: the first report of a cold model is still served at once.

--- a/src/quetzalgauge/controller.py
+++ b/src/quetzalgauge/controller.py
@@ -108,7 +108,8 @@
         self._drain_since = datetime.timedelta()
         self._zone_reviewed: datetime.timedelta | None = None
         self._needs_review = False
-        self._needs_loads = False
+        # What requests were reported to wait for since the last review.
+        self._wanted: set[demand_module.Servable] = set()
         self._published: tuple[int, int, bool] = (0, 0, False)
         self._announced: dict[ids.TargetId, set[ids.SlotId]] = {}
         self._handlers: dict[type, Callable[[Any], None]] = {
@@ -441,8 +442,10 @@
             self._exchange.add_leaving_news()
         self._placement.activity.poll(event.target, status, self._now)
         self._adapters.review(event.target, self._now)
-        self._publish(event.target, status)
-        self._needs_review = True
+        has_changed = self._publish(event.target, status)
+        # A status that shows nothing new is reviewed with the next tick.
+        if has_changed or self._placement.activity.is_changing(event.target):
+            self._needs_review = True
         if self._adapters.is_waiting(event.target):
             self._polls.hurry(event.target, self._now)
 
@@ -458,15 +461,17 @@
 
     def _publish(
         self, target: ids.TargetId, status: messages.TargetStatus
-    ) -> None:
-        """Updates the view of a target and tells peers what is new."""
+    ) -> bool:
+        """Updates the view of a target; tells peers and returns news."""
         item = self._ctx.membership.targets.get(target)
         if item is None or item.service_kind is messages.ServiceKind.PLAIN:
-            return
+            return False
         unloading = self._placement.activity.unloading(target)
         self._announced[target] = unloading
-        if self._views.update(status, item, unloading):
+        has_changed = self._views.update(status, item, unloading)
+        if has_changed:
             self._exchange.add_news(target)
+        return has_changed
 
     def _handle_order_answered(self, event: messages.OrderAnswered) -> None:
         order = event.order
@@ -523,7 +528,10 @@
                 return
             demand.version = default.version
         self._demands.put(demand, is_own, self._now)
-        self._needs_loads = self._needs_loads or demand.waiting > 0
+        if demand.waiting > 0:
+            self._wanted.add(
+                demand_module.Servable(demand.model, demand.version)
+            )
 
     def _handle_digest(self, event: messages.DigestReceived) -> None:
         update = self._exchange.answer(event.digest, event.target_states)
@@ -571,10 +579,11 @@
             self._placement.reservations.review(now)
             if ctx.settings.warm_checkpoints:
                 self._warmup.review(now)
-        if self._needs_review or self._needs_loads:
             self._placement.review_loads(now)
+        elif self._wanted:
+            self._placement.review_demand(self._wanted, now)
         self._needs_review = False
-        self._needs_loads = False
+        self._wanted.clear()
         for target in self._polls.take_due(self._ctx.orders.mark, now):
             item = self._ctx.membership.last_known(target)
             if item is not None:
--- a/src/quetzalgauge/demand.py
+++ b/src/quetzalgauge/demand.py
@@ -12,7 +12,7 @@
 DEMAND_VALID = datetime.timedelta(seconds=2)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Servable:
     """A model in one version."""
 
--- a/src/quetzalgauge/placement.py
+++ b/src/quetzalgauge/placement.py
@@ -1,5 +1,6 @@
 """Composes placement: which slots to reserve, load, unload and move."""
 
+from collections.abc import Iterable
 import datetime
 import math
 
@@ -57,6 +58,8 @@
         self._offers = offers_module.Offers(
             ctx, views, demands, self.rooms, self.activity
         )
+        # Served since the last review of all demand, which every tick brings.
+        self._served: set[demand_module.Servable] = set()
         self._sent: dict[
             tuple[ids.InstanceId, demand_module.Servable], datetime.timedelta
         ] = {}
@@ -65,14 +68,38 @@
         """Loads what requests wait for, and what is kept loaded."""
         if self._ctx.is_draining:
             return
-        forwards: dict[ids.InstanceId, list[demand_module.Servable]] = {}
-        for servable in self._demands.waiting():
-            self._serve(servable, forwards, now)
-        for holder, servables in sorted(forwards.items()):
-            self._forward(holder, servables, now)
+        self._served.clear()
+        self._serve_all(self._demands.waiting(), now)
         for target in self._leases.held():
             self.loads.keep_loaded(target, now)
 
+    def review_demand(
+        self,
+        servables: Iterable[demand_module.Servable],
+        now: datetime.timedelta,
+    ) -> None:
+        """Loads what was just reported, unless it was reviewed just before.
+
+        Every entry process repeats its demand several times a second. The
+        first report of a cold model is served at once.
+        """
+        if self._ctx.is_draining:
+            return
+        due = [one for one in servables if one not in self._served]
+        self._serve_all(sorted(due), now)
+
+    def _serve_all(
+        self,
+        servables: Iterable[demand_module.Servable],
+        now: datetime.timedelta,
+    ) -> None:
+        forwards: dict[ids.InstanceId, list[demand_module.Servable]] = {}
+        for servable in servables:
+            self._served.add(servable)
+            self._serve(servable, forwards, now)
+        for holder, wanted in sorted(forwards.items()):
+            self._forward(holder, wanted, now)
+
     def _serve(
         self,
         servable: demand_module.Servable,
