--- a/tools/policy_report.py
+++ b/tools/policy_report.py
@@ -25,7 +25,7 @@
 _IDLE_LIMITS_S = (30, 120, 300, 900, 3600)
 _WEIGHTS = (10.0, 30.0, 100.0)
 # What the example settings of each deployment choose.
-_CHOSEN = {"ferreira": 100.0, "alliance": 10.0}
+_CHOSEN = {"ferreira": 100.0, "alliance": 30.0}
 _SEED = 1
 
 
