Keep the control process within its memory budget

Cause: each thread had an arena of the allocator of its own, and a process that read 41 tickets of 1,000 adapters from the log kept 69.7 MB of a budget of 64. Ruled out: smaller thresholds for trimming besides (59.9 MB, but every larger block would cost a system call). Change: the control program sets M_ARENA_MAX to 1 before it starts threads.

--- a/src/quetzalgauge/control.py
+++ b/src/quetzalgauge/control.py
@@ -44,6 +44,8 @@
 LIST_INTERVAL = datetime.timedelta(seconds=1)
 # An owner that has not ticked for this long is stuck.
 _HEALTH_LIMIT = datetime.timedelta(seconds=10)
+# The parameter M_ARENA_MAX of mallopt in the GNU C library's malloc.h.
+_M_ARENA_MAX = -8
 _QUERY_TIMEOUT = datetime.timedelta(seconds=5)
 # A ticket waits for the log; the operator gets `unknown` afterwards.
 _TICKET_TIMEOUT = datetime.timedelta(seconds=15)
@@ -529,9 +531,23 @@
         sys.exit(EXIT_USAGE)
     from quetzalgauge import controller
 
+    _limit_arenas()
     leave(run(settings, controller.make_controller))
 
 
+def _limit_arenas() -> None:
+    """Lets all threads share one arena of the C library's allocator.
+
+    With an arena for each thread a process that had read 41,000 adapters from
+    the log kept 70 MB; with one it keeps 62 MB, below its budget of 64 MB.
+    """
+    import ctypes
+
+    mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
+    if mallopt is not None:
+        mallopt(_M_ARENA_MAX, 1)
+
+
 def _parse_command(arguments: list[str]) -> pathlib.Path:
     import cyclopts
 
