--- a/tools/policy_report.py
+++ b/tools/policy_report.py
@@ -38,6 +38,7 @@
     parameter: float
     hours: float
     slow_store: bool
+    disk_gib: int = 96
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,7 +91,9 @@
     workload = _workload(job.deployment)
     length = datetime.timedelta(hours=job.hours)
     trace = traces.generate(workload, length, _SEED)
-    world = emulator.World(_make_site(job.deployment, workload))
+    site = _make_site(job.deployment, workload)
+    site = dataclasses.replace(site, disk_cache_bytes=job.disk_gib * _GIB)
+    world = emulator.World(site)
     _fill_caches(world)
     if job.slow_store:
         world.clock.call_at(length / 4, lambda: _slow_down(world, 4.0))
@@ -271,8 +274,12 @@
     parser.add_argument("--hours", type=float, default=12.0)
     parser.add_argument("--workers", type=int, default=4)
     parser.add_argument("--out", type=pathlib.Path, default=ROOT / "docs")
+    parser.add_argument("--disk-gib", type=int, default=96)
     arguments = parser.parse_args()
-    jobs = _make_jobs(arguments.hours)
+    jobs = [
+        dataclasses.replace(job, disk_gib=arguments.disk_gib)
+        for job in _make_jobs(arguments.hours)
+    ]
     with concurrent.futures.ProcessPoolExecutor(arguments.workers) as pool:
         rows = list(pool.map(run, jobs))
     write_page(rows, arguments.hours, arguments.out / "policy.md")
