--- a/tools/bench_streams.py
+++ b/tools/bench_streams.py
@@ -269,6 +269,7 @@
             models=[model] if news else [],
             adapters=[],
             log_reachable=True,
+            services=[],
         )
 
 
