--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 # build needs no generator.
 generate:
 	thrift --gen py:slots -out src idl/quetzalgauge.thrift
+	thrift --gen py:slots -out src idl/exchange.thrift
 	rm -f src/__init__.py src/quetzalgauge/gen/*-remote
 
 clean:
--- /dev/null
+++ b/idl/exchange.thrift
@@ -0,0 +1,70 @@
+// Messages between instances and the holders of zones. Durations are
+// milliseconds.
+namespace py quetzalgauge.gen.exchange
+
+struct Wish {
+  1: string model,
+  2: i32 waiting,
+  3: list<i32> slacks,
+}
+
+struct AdapterWish {
+  1: string target,
+  2: string model,
+  3: string adapter,
+}
+
+// Empty model and adapter: none.
+struct Running {
+  1: string target,
+  2: string model,
+  3: string adapter,
+  4: i32 count,
+}
+
+struct Report {
+  1: string instance,
+  2: list<Wish> wishes,
+  3: list<AdapterWish> adapter_wishes,
+  4: list<Running> running,
+  5: map<string, i32> arrivals,
+}
+
+struct ReplicaView {
+  1: string model,
+  2: i32 ready_in,
+  3: bool closing,
+}
+
+struct AdapterView {
+  1: string model,
+  2: string adapter,
+  3: i32 ready_in,
+}
+
+struct TargetView {
+  1: string target,
+  2: i64 incarnation,
+  3: list<ReplicaView> replicas,
+  4: list<AdapterView> adapters,
+  5: i32 busy_for,
+  6: i32 running,
+}
+
+struct Board {
+  1: string availability_zone,
+  2: string holder,
+  3: i64 token,
+  4: bool complete,
+  5: i32 orders_in,
+  6: i32 backlog,
+  7: i32 instances,
+  8: list<TargetView> targets,
+  9: list<string> gone,
+}
+
+// Exactly one of the two is set.
+struct Message {
+  1: optional Report report,
+  2: optional Board board,
+}
--- a/src/quetzalgauge/callers.py
+++ b/src/quetzalgauge/callers.py
@@ -14,15 +14,16 @@
 import json
 import logging
 import queue
-import select
 import socket
 from typing import Any
 import uuid
 
 import cheroot.server
 
+from quetzalgauge import callerwatch
 from quetzalgauge import calls
 from quetzalgauge import clock
+from quetzalgauge import connections
 from quetzalgauge import controllink
 from quetzalgauge import ids
 from quetzalgauge import logs
@@ -42,7 +43,6 @@
 KEEP_ALIVE_CONNECTIONS = 2000
 
 _MODELS_PATH = "/v1/models"
-_CALLER_GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 _log = logs.make_logger("callers")
 
@@ -55,7 +55,7 @@
 
     def __init__(self, token: int) -> None:
         self.token = token
-        self.attempt = targets.Attempt()
+        self.attempt = connections.Attempt()
         self._actions: queue.SimpleQueue[calls.Action] = queue.SimpleQueue()
 
     def put(self, action: calls.Action) -> None:
@@ -63,7 +63,7 @@
         if isinstance(action, calls.Send):
             # Made here and not by the worker, so that a cancellation right
             # after this action reaches the new attempt.
-            self.attempt = targets.Attempt()
+            self.attempt = connections.Attempt()
         self._actions.put(action)
 
     def get(self) -> calls.Action:
@@ -71,37 +71,6 @@
         return self._actions.get()
 
 
-class CallerWatch:
-    """Notices that a caller has closed its connection during a call."""
-
-    def __init__(self, tell: Callable[[calls.Event], None]) -> None:
-        self._tell = tell
-        self._epoll = select.epoll()
-        self._tokens: dict[int, int] = {}
-
-    def add(self, handle: socket.socket, token: int) -> None:
-        """Watches a caller's socket."""
-        number = handle.fileno()
-        self._tokens[number] = token
-        with contextlib.suppress(OSError):
-            self._epoll.register(number, _CALLER_GONE | select.EPOLLONESHOT)
-
-    def remove(self, handle: socket.socket) -> None:
-        """Ends the watch; must be called before the socket is closed."""
-        number = handle.fileno()
-        self._tokens.pop(number, None)
-        with contextlib.suppress(OSError, ValueError):
-            self._epoll.unregister(number)
-
-    def run(self) -> None:
-        """Reports callers that have gone, until the process ends."""
-        while True:
-            for number, _ in self._epoll.poll():
-                token = self._tokens.get(number)
-                if token is not None:
-                    self._tell(calls.CallerGone(token))
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
     """What calls need from the rest of the process."""
@@ -110,7 +79,7 @@
     now: clock.Clock
     tell: Callable[[calls.Event], None]
     calls: dict[int, Call]
-    watch: CallerWatch
+    watch: callerwatch.CallerWatch
     client: targets.TargetClient
     link: controllink.ControlLink
     meters: metrics.Metrics
@@ -222,7 +191,7 @@
         self._deadline = parsed.request.deadline.total_seconds()
         self._writer = _StreamWriter(req, parsed.request.request_id)
         self._events = streams.EventFilter()
-        self._opened: targets.Connection | None = None
+        self._opened: connections.Connection | None = None
         self._opened_address = ""
         self._sends = 0
         self._reused = False
@@ -303,7 +272,7 @@
             self._opened = self._parts.client.connect(
                 action.address, self._deadline
             )
-        except targets.AttemptError as error:
+        except connections.AttemptError as error:
             self._tell(calls.AttemptEnded(self._call.token, error.failure))
         else:
             self._tell(calls.Opened(self._call.token))
@@ -319,7 +288,7 @@
         try:
             connection = self._take_connection(action)
             return self._exchange(action, connection, attempt)
-        except targets.AttemptError as error:
+        except connections.AttemptError as error:
             attempt.detach()
             if connection is not None:
                 connection.close()
@@ -339,7 +308,7 @@
             )
         )
 
-    def _take_connection(self, action: calls.Send) -> targets.Connection:
+    def _take_connection(self, action: calls.Send) -> connections.Connection:
         opened, self._opened = self._opened, None
         if opened is not None:
             if self._opened_address == action.address and opened.is_connected:
@@ -356,8 +325,8 @@
     def _exchange(
         self,
         action: calls.Send,
-        connection: targets.Connection,
-        attempt: targets.Attempt,
+        connection: connections.Connection,
+        attempt: connections.Attempt,
     ) -> bool:
         outgoing = self._make_outgoing(action)
         client = self._parts.client
@@ -372,11 +341,11 @@
         client.give_back(action.address, connection, attempt)
         if self._writer.is_started:
             # The target could not resume the stream.
-            raise targets.AttemptError(retries.Failure.MALFORMED)
+            raise connections.AttemptError(retries.Failure.MALFORMED)
         if self._parsed.document is not None:
             failure = targets.classify_completion(answer)
             if failure is not None:
-                raise targets.AttemptError(failure)
+                raise connections.AttemptError(failure)
         self._tell(calls.AttemptEnded(self._call.token, None))
         self._count_first_byte(action, answer.status)
         self._store(answer)
@@ -431,9 +400,9 @@
     def _copy_stream(
         self,
         action: calls.Send,
-        connection: targets.Connection,
+        connection: connections.Connection,
         response: targets.Response,
-        attempt: targets.Attempt,
+        attempt: connections.Attempt,
     ) -> bool:
         client = self._parts.client
         events = self._events
@@ -443,14 +412,14 @@
             while not events.is_done:
                 data = client.read(response, self._deadline, attempt)
                 if not data:
-                    raise targets.AttemptError(retries.Failure.CUT)
+                    raise connections.AttemptError(retries.Failure.CUT)
                 data = events.feed(data)
                 if data:
                     if not self._writer.is_started:
                         self._count_first_byte(action, 200)
                     self._write_events(data)
         except streams.StreamError as error:
-            raise targets.AttemptError(retries.Failure.MALFORMED) from error
+            raise connections.AttemptError(retries.Failure.MALFORMED) from error
         self._finish_stream(action, connection, response, attempt)
         self._tell(calls.AttemptEnded(self._call.token, None))
         return True
@@ -459,21 +428,21 @@
         try:
             self._writer.write(data)
         except OSError as error:
-            raise targets.AttemptError(retries.Failure.ABANDONED) from error
+            raise connections.AttemptError(retries.Failure.ABANDONED) from error
 
     def _finish_stream(
         self,
         action: calls.Send,
-        connection: targets.Connection,
+        connection: connections.Connection,
         response: targets.Response,
-        attempt: targets.Attempt,
+        attempt: connections.Attempt,
     ) -> None:
         """Keeps the connection if the answer ends right after the marker."""
         client = self._parts.client
         try:
             connection.timeout = 1.0
             rest = client.read(response, self._deadline, attempt)
-        except targets.AttemptError:
+        except connections.AttemptError:
             rest = b"unread"
         if rest:
             attempt.detach()
--- a/src/quetzalgauge/clock.py
+++ b/src/quetzalgauge/clock.py
@@ -19,6 +19,20 @@
     return now
 
 
+def make_suspend_clock() -> Clock:
+    """Returns a clock that also counts the time of a suspended machine.
+
+    Leases rest on it: the monotonic clock of Linux stands still meanwhile.
+    """
+    start = time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def now() -> datetime.timedelta:
+        seconds = time.clock_gettime(time.CLOCK_BOOTTIME) - start
+        return datetime.timedelta(seconds=seconds)
+
+    return now
+
+
 def make_incarnation() -> int:
     """Returns the wall clock in milliseconds.
 
--- /dev/null
+++ b/src/quetzalgauge/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of an instance: no sockets, files, threads or clock reads."""
--- /dev/null
+++ b/src/quetzalgauge/core/adapters.py
@@ -0,0 +1,71 @@
+"""Which order brings a wanted adapter onto a target.
+
+The pattern answered: many adapters of a busy model on few places. An adapter
+that no request uses and that was used longest ago makes way.
+"""
+
+import dataclasses
+import datetime
+
+from quetzalgauge import ids
+from quetzalgauge.core import demand
+from quetzalgauge.core import exchange
+from quetzalgauge.core import orders
+from quetzalgauge.core import stock
+
+# Adapters on their way to one target at the same time (the platform's limit).
+MAX_COMING = 4
+# An adapter that was brought a moment ago waits for its requests.
+SHORTEST_STAY = datetime.timedelta(milliseconds=150)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One order for an adapter."""
+
+    operation: orders.Operation
+    model: ids.ModelName
+    adapter: ids.AdapterName
+
+
+def next_step(
+    one: stock.Stock,
+    wish: exchange.AdapterWish,
+    running: demand.RunningCounts,
+    now: datetime.timedelta,
+) -> Step | None:
+    """Returns the next order for a wish, None if none is due."""
+    key = (wish.model, wish.adapter)
+    if key in one.adapters or not one.is_ready(wish.model, now):
+        return None
+    spec = one.engine.models.get(wish.model)
+    if spec is None:
+        return None
+    coming = sum(
+        held.state is stock.State.LOADING for held in one.adapters.values()
+    )
+    if coming >= MAX_COMING:
+        return None
+    if len(
+        one.adapters
+    ) < one.engine.adapter_slots and spec.adapter_mb <= one.free_mb(now):
+        return Step(orders.Operation.LOAD, wish.model, wish.adapter)
+    victim = _find_victim(one, running, now)
+    if victim is None:
+        return None
+    return Step(orders.Operation.UNLOAD, *victim)
+
+
+def _find_victim(
+    one: stock.Stock,
+    running: demand.RunningCounts,
+    now: datetime.timedelta,
+) -> stock.AdapterKey | None:
+    idle = [
+        (held.used_at, key)
+        for key, held in one.adapters.items()
+        if held.state is stock.State.READY
+        and now - held.ready_at >= SHORTEST_STAY
+        and not running.of_adapter(one.target, *key)
+    ]
+    return min(idle)[1] if idle else None
--- /dev/null
+++ b/src/quetzalgauge/core/demand.py
@@ -0,0 +1,150 @@
+"""Demand for models as a holder knows it: who waits, what runs, how often.
+
+The pattern answered: many rarely used models and a few busy ones, which take
+turns. Rates tell the two apart; the wishes tell what is wanted right now.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+import datetime
+import math
+
+from quetzalgauge import ids
+from quetzalgauge.core import exchange
+
+# A rate is measured over about this time.
+RATE_TIME = datetime.timedelta(seconds=4)
+# Rate assumed of a model before any request: each may be asked for.
+PRIOR_RATE = 0.1
+# Reports of an instance that has been silent for this time do not count.
+REPORT_AGE = datetime.timedelta(seconds=3)
+
+_ZERO = datetime.timedelta()
+
+
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    report: exchange.Report
+    at: datetime.timedelta
+
+
+class Demand:
+    """The last report of each instance, and the rates of arrivals."""
+
+    def __init__(self) -> None:
+        self._heard: dict[ids.InstanceId, _Heard] = {}
+        self._counts: dict[ids.ModelName, float] = {}
+        self._counted_at: dict[ids.ModelName, datetime.timedelta] = {}
+
+    @property
+    def instances(self) -> int:
+        """Number of instances that report."""
+        return len(self._heard)
+
+    def use_report(
+        self, report: exchange.Report, now: datetime.timedelta
+    ) -> None:
+        """Takes the report of an instance."""
+        self._heard[report.instance] = _Heard(report, now)
+        for model, count in report.arrivals:
+            self._counts[model] = self._decayed(model, now) + count
+            self._counted_at[model] = now
+
+    def forget(self, instance: ids.InstanceId) -> None:
+        """Drops an instance whose link broke."""
+        self._heard.pop(instance, None)
+
+    def expire(self, now: datetime.timedelta) -> None:
+        """Drops reports that are too old."""
+        for instance in [
+            one
+            for one, heard in self._heard.items()
+            if now - heard.at > REPORT_AGE
+        ]:
+            del self._heard[instance]
+
+    def rate(self, model: ids.ModelName, now: datetime.timedelta) -> float:
+        """Returns requests a second for a model, over all instances."""
+        measured = self._decayed(model, now) / RATE_TIME.total_seconds()
+        return PRIOR_RATE + measured
+
+    def _decayed(self, model: ids.ModelName, now: datetime.timedelta) -> float:
+        count = self._counts.get(model)
+        if count is None:
+            return 0.0
+        age = (now - self._counted_at[model]) / RATE_TIME
+        return count * math.exp(-max(0.0, age))
+
+    def wishes(
+        self,
+    ) -> dict[ids.ModelName, list[datetime.timedelta]]:
+        """Returns for each wanted model when its requests become late.
+
+        Requests beyond those told one by one count like the last of them.
+        """
+        found: dict[ids.ModelName, list[datetime.timedelta]] = {}
+        for heard in self._heard.values():
+            for wish in heard.report.wishes:
+                late_at = [heard.at + slack for slack in wish.slacks]
+                more = wish.waiting - len(late_at)
+                if late_at and more > 0:
+                    late_at += [late_at[-1]] * more
+                found.setdefault(wish.model, []).extend(late_at)
+        return found
+
+    def adapter_wishes(self) -> Iterator[exchange.AdapterWish]:
+        """Returns the wanted adapters."""
+        seen = set()
+        for heard in self._heard.values():
+            for wish in heard.report.adapter_wishes:
+                if wish not in seen:
+                    seen.add(wish)
+                    yield wish
+
+    def running(self) -> "RunningCounts":
+        """Returns the requests in progress over all instances."""
+        counts = RunningCounts()
+        for heard in self._heard.values():
+            for row in heard.report.running:
+                counts.add(row)
+        return counts
+
+
+class RunningCounts:
+    """Requests in progress by target, model and adapter."""
+
+    def __init__(self) -> None:
+        self._targets: dict[ids.TargetId, int] = {}
+        self._models: dict[tuple[ids.TargetId, ids.ModelName], int] = {}
+        self._adapters: dict[
+            tuple[ids.TargetId, ids.ModelName, ids.AdapterName], int
+        ] = {}
+
+    def add(self, row: exchange.Running) -> None:
+        """Adds what one instance runs."""
+        target = row.target
+        self._targets[target] = self._targets.get(target, 0) + row.count
+        if row.model is None:
+            return
+        key = (target, row.model)
+        self._models[key] = self._models.get(key, 0) + row.count
+        if row.adapter is not None:
+            third = (target, row.model, row.adapter)
+            self._adapters[third] = self._adapters.get(third, 0) + row.count
+
+    def on_target(self, target: ids.TargetId) -> int:
+        """Returns the requests on a target."""
+        return self._targets.get(target, 0)
+
+    def of_model(self, target: ids.TargetId, model: ids.ModelName) -> int:
+        """Returns the requests for a model on a target."""
+        return self._models.get((target, model), 0)
+
+    def of_adapter(
+        self,
+        target: ids.TargetId,
+        model: ids.ModelName,
+        adapter: ids.AdapterName,
+    ) -> int:
+        """Returns the requests for an adapter on a target."""
+        return self._adapters.get((target, model, adapter), 0)
--- /dev/null
+++ b/src/quetzalgauge/core/exchange.py
@@ -0,0 +1,146 @@
+"""What instances and holders tell each other.
+
+A holder gives orders to the targets of an availability zone. Each instance
+reports what it waits for and runs there; the holder publishes what its
+targets hold. Both messages state the whole of what they touch, so a lost or
+repeated one does no harm.
+"""
+
+import dataclasses
+import datetime
+from typing import TypeAlias
+
+from quetzalgauge import ids
+
+# Requests of one wish whose times are told one by one.
+MAX_SLACKS = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """Requests that wait for a model to be loaded.
+
+    Attributes:
+        model: The model.
+        waiting: Number of requests.
+        slacks: For each of the first ones, the time until its answer is
+            later than the caller wants; negative when it is late already.
+    """
+
+    model: ids.ModelName
+    waiting: int
+    slacks: tuple[datetime.timedelta, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdapterWish:
+    """Requests wait for an adapter on a target that has its model."""
+
+    target: ids.TargetId
+    model: ids.ModelName
+    adapter: ids.AdapterName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """Requests of one instance in progress on a target."""
+
+    target: ids.TargetId
+    model: ids.ModelName | None
+    adapter: ids.AdapterName | None
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What an instance waits for and runs in a zone.
+
+    Attributes:
+        instance: The sender.
+        wishes: Models that it waits for.
+        adapter_wishes: Adapters that it waits for.
+        running: Requests in progress on the zone's targets.
+        arrivals: Requests by model that arrived since the last report.
+    """
+
+    instance: ids.InstanceId
+    wishes: tuple[Wish, ...] = ()
+    adapter_wishes: tuple[AdapterWish, ...] = ()
+    running: tuple[Running, ...] = ()
+    arrivals: tuple[tuple[ids.ModelName, int], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaView:
+    """A model on a target.
+
+    Attributes:
+        model: The model.
+        ready_in: Zero or less when it takes requests, otherwise the expected
+            time until then.
+        closing: Whether it takes no new requests.
+    """
+
+    model: ids.ModelName
+    ready_in: datetime.timedelta
+    closing: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdapterView:
+    """An adapter on a target; `ready_in` as for models."""
+
+    model: ids.ModelName
+    adapter: ids.AdapterName
+    ready_in: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetView:
+    """What the holder knows of a target.
+
+    Attributes:
+        target: The target.
+        incarnation: Its incarnation.
+        replicas: Models that are loaded or being loaded.
+        adapters: Adapters that are loaded or being loaded.
+        busy_for: Expected time until it can take another order.
+        running: Requests in progress from all instances.
+    """
+
+    target: ids.TargetId
+    incarnation: int
+    replicas: tuple[ReplicaView, ...]
+    adapters: tuple[AdapterView, ...]
+    busy_for: datetime.timedelta
+    running: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Board:
+    """What a holder publishes; `targets` has those that changed.
+
+    Attributes:
+        availability_zone: The zone whose targets the holder orders.
+        holder: The sender.
+        token: Its fencing token.
+        complete: Whether `targets` has every target of the zone.
+        orders_in: Time until the holder may give orders; zero if it may.
+        backlog: Models that wait for a load and have no target yet.
+        instances: Instances that report to the holder, itself included.
+        targets: The targets that changed since the last message.
+        gone: Targets that are not ordered by the holder any more.
+    """
+
+    availability_zone: ids.AvailabilityZone
+    holder: ids.InstanceId
+    token: int
+    complete: bool
+    orders_in: datetime.timedelta
+    backlog: int
+    instances: int
+    targets: tuple[TargetView, ...]
+    gone: tuple[ids.TargetId, ...] = ()
+
+
+Message: TypeAlias = Report | Board
--- /dev/null
+++ b/src/quetzalgauge/core/fleet.py
@@ -0,0 +1,430 @@
+"""Where a request can go: targets, what they hold and how loaded they are.
+
+Joins the register of targets, the boards of the holders, this instance's own
+requests in progress and its record of each target's health.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import datetime
+
+from quetzalgauge import ids
+from quetzalgauge.core import configuration
+from quetzalgauge.core import exchange
+from quetzalgauge.core import health
+from quetzalgauge.core import targets
+
+# A holder that has said nothing for this time is taken for lost.
+HOLDER_SILENCE = datetime.timedelta(milliseconds=1500)
+# How long a target's denial of a model or adapter outweighs the boards.
+DENIAL_TIME = datetime.timedelta(milliseconds=150)
+# How long a target that said it was full gets no new request.
+FULL_TIME = datetime.timedelta(milliseconds=60)
+
+_ZERO = datetime.timedelta()
+
+
+@dataclasses.dataclass(slots=True)
+class _ZoneBoard:
+    holder: ids.InstanceId
+    token: int
+    heard: datetime.timedelta
+    orders_at: datetime.timedelta
+    backlog: int
+    instances: int
+    views: dict[ids.TargetId, "_View"] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class _View:
+    incarnation: int
+    received: datetime.timedelta
+    ready_at: dict[ids.ModelName, datetime.timedelta]
+    closing: frozenset[ids.ModelName]
+    adapters: dict[tuple[ids.ModelName, ids.AdapterName], datetime.timedelta]
+    free_at: datetime.timedelta
+    running: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """The zone that is expected to have a model first.
+
+    Attributes:
+        availability_zone: The zone.
+        ready_at: When it is expected to have the model.
+    """
+
+    availability_zone: ids.AvailabilityZone
+    ready_at: datetime.timedelta
+
+
+class Fleet:
+    """Everything that decides where a request can go."""
+
+    def __init__(
+        self, own_zone: ids.AvailabilityZone, record: health.Health
+    ) -> None:
+        self.directory = targets.Directory()
+        self.health = record
+        self._own_zone = own_zone
+        self._boards: dict[ids.AvailabilityZone, _ZoneBoard] = {}
+        self._own: dict[ids.TargetId, int] = {}
+        self._own_models: dict[
+            tuple[ids.TargetId, ids.ModelName | None, ids.AdapterName | None],
+            int,
+        ] = {}
+        self._reported: dict[ids.TargetId, int] = {}
+        self._denied: dict[
+            tuple[ids.TargetId, ids.ModelName, ids.AdapterName | None],
+            datetime.timedelta,
+        ] = {}
+        self._full: dict[ids.TargetId, datetime.timedelta] = {}
+
+    # ---- Own requests in progress
+
+    def count(
+        self,
+        target: ids.TargetId,
+        model: ids.ModelName | None,
+        adapter: ids.AdapterName | None,
+        change: int,
+    ) -> None:
+        """Counts a request that starts (1) or ends (-1) on a target."""
+        _add(self._own, target, change)
+        _add(self._own_models, (target, model, adapter), change)
+
+    def own_running(self, target: ids.TargetId) -> int:
+        """Returns this instance's requests in progress on a target."""
+        return self._own.get(target, 0)
+
+    def running_in(
+        self, zone: ids.AvailabilityZone
+    ) -> tuple[exchange.Running, ...]:
+        """Returns this instance's requests in progress in a zone."""
+        found = []
+        for (target, model, adapter), count in self._own_models.items():
+            known = self.directory.get(target)
+            if known is not None and known.availability_zone == zone:
+                found.append(exchange.Running(target, model, adapter, count))
+        return tuple(found)
+
+    def note_reported(self, running: Iterable[exchange.Running]) -> None:
+        """Remembers what the holders know of this instance's requests."""
+        counts: dict[ids.TargetId, int] = {}
+        for row in running:
+            _add(counts, row.target, row.count)
+        self._reported.update(counts)
+        for target in self._reported.keys() - counts.keys():
+            if target not in self._own:
+                del self._reported[target]
+
+    def load(self, target: ids.TargetId) -> int:
+        """Returns the estimated requests in progress of all instances."""
+        own = self._own.get(target, 0)
+        view = self._view(target)
+        if view is None:
+            return own
+        others = max(0, view.running - self._reported.get(target, 0))
+        return own + others
+
+    # ---- Boards
+
+    def use_board(self, board: exchange.Board, now: datetime.timedelta) -> None:
+        """Takes a message of a holder."""
+        zone = board.availability_zone
+        known = self._boards.get(zone)
+        if known is not None and board.token < known.token:
+            return
+        if known is None or known.holder != board.holder or board.complete:
+            known = _ZoneBoard(board.holder, board.token, now, now, 0, 1)
+            self._boards[zone] = known
+        known.token = board.token
+        known.heard = now
+        known.orders_at = now + board.orders_in
+        known.backlog = board.backlog
+        known.instances = board.instances
+        for view in board.targets:
+            known.views[view.target] = _View(
+                view.incarnation,
+                now,
+                {one.model: now + one.ready_in for one in view.replicas},
+                frozenset(one.model for one in view.replicas if one.closing),
+                {
+                    (one.model, one.adapter): now + one.ready_in
+                    for one in view.adapters
+                },
+                now + view.busy_for,
+                view.running,
+            )
+        for target in board.gone:
+            known.views.pop(target, None)
+
+    def lose_holder(self, zone: ids.AvailabilityZone) -> None:
+        """The link to a zone's holder broke."""
+        board = self._boards.get(zone)
+        if board is not None:
+            board.heard = -HOLDER_SILENCE
+
+    def has_holder(
+        self, zone: ids.AvailabilityZone, now: datetime.timedelta
+    ) -> bool:
+        """Whether a zone's holder has been heard lately."""
+        board = self._boards.get(zone)
+        return board is not None and now - board.heard < HOLDER_SILENCE
+
+    def instances(self) -> int:
+        """Returns the number of instances that report to holders."""
+        counts = [board.instances for board in self._boards.values()]
+        return max(counts, default=1)
+
+    # ---- Choices
+
+    def usable(
+        self, service: ids.ServiceName, now: datetime.timedelta
+    ) -> list[targets.Description]:
+        """Returns the targets that may get new work.
+
+        Targets that could not be reached lately are left out unless nothing
+        else is there.
+        """
+        present = [
+            one for one in self.directory.of_service(service) if not one.leaving
+        ]
+        well = [
+            one for one in present if not self.health.is_paused(one.target, now)
+        ]
+        return well or present
+
+    def replicas(
+        self,
+        service: ids.ServiceName,
+        model: ids.ModelName,
+        now: datetime.timedelta,
+    ) -> list[targets.Description]:
+        """Returns the targets that take requests for a model now."""
+        return [
+            one
+            for one in self.usable(service, now)
+            if self._has(one, model, now)
+        ]
+
+    def holds(
+        self,
+        one: targets.Description,
+        model: ids.ModelName,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Whether a target has a model or is loading it."""
+        view = self._current_view(one, now)
+        if view is None:
+            return any(loaded.name == model for loaded in one.models)
+        return model in view.ready_at and model not in view.closing
+
+    def busy_until(
+        self, one: targets.Description, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Returns when a target can take an order again."""
+        view = self._current_view(one, now)
+        return view.free_at if view is not None else now
+
+    def is_full(self, target: ids.TargetId, now: datetime.timedelta) -> bool:
+        """Whether a target said a moment ago that it was full."""
+        return now < self._full.get(target, _ZERO)
+
+    def adapter_ready_at(
+        self,
+        one: targets.Description,
+        model: ids.ModelName,
+        adapter: ids.AdapterName,
+        now: datetime.timedelta,
+    ) -> datetime.timedelta | None:
+        """Returns when a target has an adapter, None if it is not coming."""
+        denied = self._denied.get((one.target, model, adapter))
+        if denied is not None and now < denied:
+            return None
+        view = self._current_view(one, now)
+        if view is not None:
+            return view.adapters.get((model, adapter))
+        for loaded in one.models:
+            if loaded.name == model and adapter in loaded.adapters:
+                return now
+        return None
+
+    def planned(
+        self,
+        service: ids.ServiceName,
+        model: ids.ModelName,
+        now: datetime.timedelta,
+    ) -> datetime.timedelta | None:
+        """Returns when a target that loads a model will have it."""
+        found = self._soonest(service, model, now)
+        return found.ready_at if found else None
+
+    def planned_zone(
+        self,
+        service: ids.ServiceName,
+        model: ids.ModelName,
+        now: datetime.timedelta,
+    ) -> ids.AvailabilityZone | None:
+        """Returns the zone that loads a model or has it."""
+        found = self._soonest(service, model, now)
+        return found.availability_zone if found else None
+
+    def _soonest(
+        self,
+        service: ids.ServiceName,
+        model: ids.ModelName,
+        now: datetime.timedelta,
+    ) -> Offer | None:
+        offers = []
+        for one in self.usable(service, now):
+            view = self._current_view(one, now)
+            if view is None or model in view.closing:
+                continue
+            ready = view.ready_at.get(model)
+            if ready is not None:
+                offers.append(Offer(one.availability_zone, ready))
+        return min(offers, key=lambda one: one.ready_at, default=None)
+
+    def offers(
+        self,
+        service: ids.ServiceName,
+        model: configuration.Model,
+        now: datetime.timedelta,
+    ) -> list[Offer]:
+        """Returns when each zone could have a model, the soonest first."""
+        best: dict[ids.AvailabilityZone, datetime.timedelta] = {}
+        counts: dict[ids.AvailabilityZone, int] = {}
+        for one in self.usable(service, now):
+            zone = one.availability_zone
+            counts[zone] = counts.get(zone, 0) + 1
+            if not self.has_holder(zone, now):
+                continue
+            view = self._current_view(one, now)
+            free_at = view.free_at if view is not None else now
+            start = max(now, free_at, self._boards[zone].orders_at)
+            ready = start + load_time(model, one.copies)
+            if zone not in best or ready < best[zone]:
+                best[zone] = ready
+        offers = []
+        for zone, ready in best.items():
+            queued = self._boards[zone].backlog * model.disk_load / counts[zone]
+            offers.append(Offer(zone, ready + queued))
+        offers.sort(
+            key=lambda offer: (
+                offer.ready_at,
+                offer.availability_zone != self._own_zone,
+            )
+        )
+        return offers
+
+    def deny(
+        self,
+        target: ids.TargetId,
+        model: ids.ModelName,
+        adapter: ids.AdapterName | None,
+        now: datetime.timedelta,
+    ) -> None:
+        """A target said that it lacks a model or an adapter."""
+        self._denied[(target, model, adapter)] = now + DENIAL_TIME
+
+    def note_full(self, target: ids.TargetId, now: datetime.timedelta) -> None:
+        """A target said that it was full."""
+        self._full[target] = now + FULL_TIME
+
+    def expire(self, now: datetime.timedelta) -> None:
+        """Forgets denials that are over."""
+        self._denied = {
+            key: end for key, end in self._denied.items() if end > now
+        }
+        self._full = {
+            target: end for target, end in self._full.items() if end > now
+        }
+
+    # ---- Views
+
+    def _view(self, target: ids.TargetId) -> _View | None:
+        known = self.directory.get(target)
+        if known is None:
+            return None
+        board = self._boards.get(known.availability_zone)
+        view = board.views.get(target) if board else None
+        if view is None or view.incarnation != known.incarnation:
+            return None
+        return view
+
+    def _current_view(
+        self, one: targets.Description, now: datetime.timedelta
+    ) -> _View | None:
+        """Returns the board's view unless the register is newer."""
+        if not self.has_holder(one.availability_zone, now):
+            return None
+        return self._view(one.target)
+
+    def _has(
+        self,
+        one: targets.Description,
+        model: ids.ModelName,
+        now: datetime.timedelta,
+    ) -> bool:
+        denied = self._denied.get((one.target, model, None))
+        if denied is not None and now < denied:
+            return False
+        view = self._current_view(one, now)
+        if view is None:
+            return any(loaded.name == model for loaded in one.models)
+        ready = view.ready_at.get(model)
+        return ready is not None and ready <= now and model not in view.closing
+
+
+def load_time(
+    model: configuration.Model, copies: targets.Copies
+) -> datetime.timedelta:
+    """Returns how long a target with these copies takes to load a model."""
+    if model.name in copies.in_memory:
+        return model.memory_load
+    if model.name in copies.on_disk:
+        return model.disk_load
+    return model.store_load
+
+
+def _add(table: dict, key: object, change: int) -> None:
+    left = table.get(key, 0) + change
+    if left > 0:
+        table[key] = left
+    else:
+        table.pop(key, None)
+
+
+def boards_as_json(
+    fleet: Fleet, now: datetime.timedelta
+) -> Mapping[str, object]:
+    """Returns what the boards say, with its age, for a dump."""
+    return {
+        zone: {
+            "holder": board.holder,
+            "token": board.token,
+            "age_s": (now - board.heard).total_seconds(),
+            "orders_in_s": (board.orders_at - now).total_seconds(),
+            "backlog": board.backlog,
+            "targets": {
+                target: {
+                    "age_s": (now - view.received).total_seconds(),
+                    "models": {
+                        model: (at - now).total_seconds()
+                        for model, at in view.ready_at.items()
+                    },
+                    "closing": sorted(view.closing),
+                    "adapters": [
+                        f"{model}/{adapter}" for model, adapter in view.adapters
+                    ],
+                    "busy_s": (view.free_at - now).total_seconds(),
+                    "running": view.running,
+                }
+                for target, view in board.views.items()
+            },
+        }
+        for zone, board in fleet._boards.items()
+    }
--- /dev/null
+++ b/src/quetzalgauge/core/holder.py
@@ -0,0 +1,519 @@
+"""The holder of a zone: it gives orders to the zone's targets.
+
+It collects the reports of all instances, keeps a ledger of each target,
+decides what to load, and publishes what its targets hold.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import datetime
+from typing import Any
+
+from quetzalgauge import ids
+from quetzalgauge.core import adapters
+from quetzalgauge.core import configuration
+from quetzalgauge.core import demand
+from quetzalgauge.core import exchange
+from quetzalgauge.core import fleet as fleet_module
+from quetzalgauge.core import notes
+from quetzalgauge.core import orders
+from quetzalgauge.core import placement
+from quetzalgauge.core import stock
+from quetzalgauge.core import targets
+
+# Loads from the weight store at full speed (the sites' sheets: 2 to 4 at once
+# over all targets).
+STORE_LOADS_AT_ONCE = 4
+# Window and margin of the limit on loads from the weight store.
+STORE_WINDOW = datetime.timedelta(seconds=5)
+STORE_MARGIN = 0.9
+# How often the holder looks for something to do without any event.
+REVIEW_INTERVAL = datetime.timedelta(milliseconds=50)
+# How often counts of running requests alone are published.
+COUNTS_INTERVAL = datetime.timedelta(milliseconds=200)
+
+_ZERO = datetime.timedelta()
+
+
+@dataclasses.dataclass(slots=True)
+class _Published:
+    signature: tuple[Any, ...]
+    running: int
+    revision: int
+
+
+class Holder:
+    """State of a holder."""
+
+    def __init__(
+        self,
+        zone: ids.AvailabilityZone,
+        instance: ids.InstanceId,
+        fleet: fleet_module.Fleet,
+    ) -> None:
+        self._zone = zone
+        self._instance = instance
+        self._fleet = fleet
+        self._demand = demand.Demand()
+        self._stocks: dict[ids.TargetId, stock.Stock] = {}
+        self._intents: dict[ids.TargetId, placement.Choice] = {}
+        self._config: configuration.Configuration | None = None
+        self._store_loads: list[datetime.timedelta] = []
+        self._published: dict[ids.TargetId, _Published] = {}
+        self._gone: dict[ids.TargetId, int] = {}
+        self._revision = 0
+        self._counts_at = _ZERO
+        self._review_at = _ZERO
+        self._again: list[orders.Order] = []
+        self._notes: list[notes.Note] = []
+
+    @property
+    def zone(self) -> ids.AvailabilityZone:
+        """The zone whose targets are ordered."""
+        return self._zone
+
+    @property
+    def revision(self) -> int:
+        """Grows with each change of what is published."""
+        return self._revision
+
+    @property
+    def due(self) -> datetime.timedelta:
+        """When `act` is wanted next."""
+        times = [self._review_at]
+        times += [
+            one.due for one in self._stocks.values() if one.due is not None
+        ]
+        return min(times)
+
+    def take_notes(self) -> list[notes.Note]:
+        """Returns the decisions since the last call."""
+        taken, self._notes = self._notes, []
+        return taken
+
+    # ---- Inputs
+
+    def configure(self, config: configuration.Configuration) -> None:
+        """Uses a configuration."""
+        self._config = config
+        for one in self._stocks.values():
+            service = config.services.get(one.description.service)
+            if service is not None and service.engine is not None:
+                one.engine = service.engine
+
+    def use_report(
+        self, report: exchange.Report, now: datetime.timedelta
+    ) -> None:
+        """Takes the report of an instance."""
+        self._demand.use_report(report, now)
+        for row in report.running:
+            one = self._stocks.get(row.target)
+            if one is None or row.model is None:
+                continue
+            replica = one.replicas.get(row.model)
+            if replica is not None:
+                replica.used_at = now
+            if row.adapter is not None:
+                held = one.adapters.get((row.model, row.adapter))
+                if held is not None:
+                    held.used_at = now
+
+    def forget_instance(self, instance: ids.InstanceId) -> None:
+        """Drops the report of an instance whose link broke."""
+        self._demand.forget(instance)
+
+    def use_directory(self) -> None:
+        """Follows the targets of the zone."""
+        if self._config is None:
+            return
+        present = {}
+        for one in self._fleet.directory:
+            service = self._config.services.get(one.service)
+            if (
+                one.availability_zone == self._zone
+                and service is not None
+                and service.engine is not None
+            ):
+                present[one.target] = (one, service.engine)
+        for target, (one, engine) in present.items():
+            known = self._stocks.get(target)
+            if known is None or known.incarnation != one.incarnation:
+                self._stocks[target] = stock.Stock(one, engine)
+                self._intents.pop(target, None)
+            else:
+                known.description = one
+        for target in self._stocks.keys() - present.keys():
+            del self._stocks[target]
+            self._intents.pop(target, None)
+
+    def use_answer(
+        self, event: orders.Answered, now: datetime.timedelta
+    ) -> None:
+        """Takes the answer to an order."""
+        one = self._stocks.get(event.order.target)
+        if one is None or one.incarnation != event.order.incarnation:
+            return
+        one.use_answer(event, now)
+        self._note_answer(event)
+
+    def use_status(
+        self, event: orders.StatusRead, now: datetime.timedelta
+    ) -> None:
+        """Takes a report of a target."""
+        one = self._stocks.get(event.target)
+        if one is None or one.incarnation != event.incarnation:
+            return
+        again = one.use_status(event, now)
+        if again is not None:
+            self._again.append(again)
+
+    # ---- Decisions
+
+    def act(
+        self,
+        token: int,
+        may_order_until: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> list[orders.Action]:
+        """Returns the orders and questions that are due.
+
+        Args:
+            token: Fencing token of the holder.
+            may_order_until: End of the right to give orders.
+            now: The time.
+        """
+        self._review_at = now + REVIEW_INTERVAL
+        self._demand.expire(now)
+        actions: list[orders.Action] = []
+        for one in self._stocks.values():
+            one.settle_time(now)
+            if one.wants_status(now):
+                one.note_asked()
+                actions.append(
+                    orders.AskStatus(
+                        one.target, one.incarnation, one.description.address
+                    )
+                )
+        if now < may_order_until:
+            given = self._again + self._order_adapters(token, now)
+            self._again = []
+            given += self._order_models(token, now)
+            actions += [orders.Give(order, may_order_until) for order in given]
+        self._publish(now)
+        return actions
+
+    def _order_adapters(
+        self, token: int, now: datetime.timedelta
+    ) -> list[orders.Order]:
+        given = []
+        running = self._demand.running()
+        for wish in self._demand.adapter_wishes():
+            one = self._stocks.get(wish.target)
+            if one is None or not one.can_order(now):
+                continue
+            step = adapters.next_step(one, wish, running, now)
+            if step is None:
+                continue
+            given.append(
+                one.make_order(
+                    step.operation, step.model, step.adapter, token, now
+                )
+            )
+        return given
+
+    def _order_models(
+        self, token: int, now: datetime.timedelta
+    ) -> list[orders.Order]:
+        given = []
+        scene = self._make_scene(now)
+        for _ in range(len(self._stocks)):
+            choice = self._continue_intent(scene, now)
+            if choice is None:
+                choice = placement.choose(scene, now)
+            if choice is None:
+                break
+            given.append(self._carry_out(choice, token, now))
+        return given
+
+    def _continue_intent(
+        self, scene: placement.Scene, now: datetime.timedelta
+    ) -> placement.Choice | None:
+        """Returns a load whose room is being made, if it can go on."""
+        for target, choice in list(self._intents.items()):
+            one = self._stocks.get(target)
+            if one is None or choice.model in one.replicas:
+                del self._intents[target]
+                continue
+            if not one.can_order(now):
+                continue
+            del self._intents[target]
+            wanted = choice.why != "waiting" or choice.model in scene.wishes
+            spec = one.engine.models.get(choice.model)
+            if not wanted or spec is None:
+                continue
+            left = tuple(
+                name
+                for name in choice.victims
+                if name in one.replicas
+                and one.replicas[name].state is not stock.State.UNLOADING
+            )
+            if spec.size_mb <= one.free_mb(now):
+                return dataclasses.replace(choice, stock=one, victims=())
+            if left and not any(name in scene.wishes for name in left):
+                return dataclasses.replace(choice, stock=one, victims=left)
+        return None
+
+    def _carry_out(
+        self, choice: placement.Choice, token: int, now: datetime.timedelta
+    ) -> orders.Order:
+        one = choice.stock
+        if choice.victims:
+            self._intents[one.target] = choice
+            order = one.make_order(
+                orders.Operation.UNLOAD, choice.victims[0], None, token, now
+            )
+        else:
+            if one.load_time(choice.model) >= self._store_time(one, choice):
+                self._store_loads.append(now)
+            order = one.make_order(
+                orders.Operation.LOAD, choice.model, None, token, now
+            )
+        self._note_choice(choice, order, now)
+        return order
+
+    def _store_time(
+        self, one: stock.Stock, choice: placement.Choice
+    ) -> datetime.timedelta:
+        return one.engine.models[choice.model].store_load
+
+    def _make_scene(self, now: datetime.timedelta) -> placement.Scene:
+        return placement.Scene(
+            tuple(self._stocks.values()),
+            self._demand.wishes(),
+            lambda model: self._demand.rate(model, now),
+            self._demand.running(),
+            lambda model: self._count_elsewhere(model, now),
+            self._count_copies,
+            self._store_allowance(now),
+        )
+
+    def _count_elsewhere(
+        self, model: ids.ModelName, now: datetime.timedelta
+    ) -> int:
+        return sum(
+            one.availability_zone != self._zone
+            and self._fleet.holds(one, model, now)
+            for one in self._fleet.directory
+        )
+
+    def _count_copies(self, model: ids.ModelName, besides: ids.TargetId) -> int:
+        return sum(
+            model in one.copies.on_disk
+            for one in self._fleet.directory
+            if one.target != besides
+        )
+
+    def _store_allowance(self, now: datetime.timedelta) -> int:
+        """Returns how many loads from the weight store may begin now."""
+        if self._config is None:
+            return 0
+        rate = min(
+            (one.engine.store_loads_per_s for one in self._stocks.values()),
+            default=0.0,
+        )
+        zones = len({one.availability_zone for one in self._engine_targets()})
+        share = rate * STORE_WINDOW.total_seconds() * STORE_MARGIN
+        allowed = max(1, int(share / max(1, zones)))
+        self._store_loads = [
+            at for at in self._store_loads if now - at < STORE_WINDOW
+        ]
+        # Further loads at the same time only slow each other down.
+        loading = sum(
+            replica.state is stock.State.LOADING
+            and replica.ready_at - now > datetime.timedelta(seconds=1)
+            for one in self._stocks.values()
+            for replica in one.replicas.values()
+        )
+        at_once = max(1, round(STORE_LOADS_AT_ONCE / max(1, zones) + 0.3))
+        return min(allowed - len(self._store_loads), at_once - loading)
+
+    def _engine_targets(self) -> Iterable[targets.Description]:
+        for one in self._fleet.directory:
+            if one.models or one.copies.on_disk:
+                yield one
+
+    # ---- What is published
+
+    def _publish(self, now: datetime.timedelta) -> None:
+        """Finds what has changed since it was last published."""
+        running = self._demand.running()
+        counts = now >= self._counts_at
+        if counts:
+            self._counts_at = now + COUNTS_INTERVAL
+        for target, one in self._stocks.items():
+            signature = self._signature(one)
+            total = running.on_target(target)
+            known = self._published.get(target)
+            if (
+                known is not None
+                and known.signature == signature
+                and not (counts and known.running != total)
+            ):
+                continue
+            self._revision += 1
+            self._published[target] = _Published(
+                signature, total, self._revision
+            )
+            self._gone.pop(target, None)
+        for target in self._published.keys() - self._stocks.keys():
+            del self._published[target]
+            self._revision += 1
+            self._gone[target] = self._revision
+
+    def _signature(self, one: stock.Stock) -> tuple[Any, ...]:
+        intent = self._intents.get(one.target)
+        return (
+            one.incarnation,
+            tuple(
+                (name, replica.state, replica.ready_at)
+                for name, replica in one.replicas.items()
+            ),
+            tuple((key, held.ready_at) for key, held in one.adapters.items()),
+            one.free_at,
+            intent.model if intent else None,
+        )
+
+    def board(
+        self,
+        since: int | None,
+        token: int,
+        orders_in: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> exchange.Board:
+        """Returns what has changed since a revision; None: everything."""
+        after = -1 if since is None else since
+        wishes = self._demand.wishes()
+        here = {name for one in self._stocks.values() for name in one.replicas}
+        planned = {choice.model for choice in self._intents.values()}
+        return exchange.Board(
+            self._zone,
+            self._instance,
+            token,
+            since is None,
+            orders_in,
+            len(wishes.keys() - here - planned),
+            max(1, self._demand.instances),
+            tuple(
+                self._view(self._stocks[target], known.running, now)
+                for target, known in self._published.items()
+                if known.revision > after
+            ),
+            tuple(
+                target
+                for target, revision in self._gone.items()
+                if revision > after
+            ),
+        )
+
+    def _view(
+        self, one: stock.Stock, running: int, now: datetime.timedelta
+    ) -> exchange.TargetView:
+        replicas = [
+            exchange.ReplicaView(
+                name,
+                replica.ready_at - now,
+                replica.state is stock.State.UNLOADING,
+            )
+            for name, replica in one.replicas.items()
+        ]
+        intent = self._intents.get(one.target)
+        if intent is not None and intent.model not in one.replicas:
+            replicas.append(
+                exchange.ReplicaView(
+                    intent.model,
+                    max(intent.ready_at - now, stock.BUSY_PAUSE),
+                )
+            )
+        return exchange.TargetView(
+            one.target,
+            one.incarnation,
+            tuple(replicas),
+            tuple(
+                exchange.AdapterView(model, adapter, held.ready_at - now)
+                for (model, adapter), held in one.adapters.items()
+            ),
+            max(_ZERO, one.free_at - now),
+            running,
+        )
+
+    # ---- Notes
+
+    def _note_choice(
+        self,
+        choice: placement.Choice,
+        order: orders.Order,
+        now: datetime.timedelta,
+    ) -> None:
+        self._notes.append(
+            notes.Note(
+                "placement",
+                {
+                    "target": choice.stock.target,
+                    "order": order.operation.value,
+                    "model": order.model,
+                    "for": choice.model,
+                    "victims": list(choice.victims),
+                    "why": choice.why,
+                    "score": round(choice.score, 2),
+                    "waiting": len(self._demand.wishes().get(choice.model, ())),
+                    "ready_in_ms": round(
+                        (choice.ready_at - now).total_seconds() * 1000
+                    ),
+                    "after": order.after,
+                    "token": order.token,
+                },
+            )
+        )
+
+    def _note_answer(self, event: orders.Answered) -> None:
+        order = event.order
+        self._notes.append(
+            notes.Note(
+                "order_answered",
+                {
+                    "target": order.target,
+                    "order": order.operation.value,
+                    "model": order.model,
+                    "adapter": order.adapter,
+                    "after": order.after,
+                    "answer": event.answer.value,
+                },
+            )
+        )
+
+    def dump(self, now: datetime.timedelta) -> dict[str, Any]:
+        """Returns the state as JSON values."""
+        return {
+            "zone": self._zone,
+            "instances": self._demand.instances,
+            "wishes": {
+                model: len(late_at)
+                for model, late_at in self._demand.wishes().items()
+            },
+            "targets": {
+                target: {
+                    "known": one.is_known,
+                    "models": {
+                        name: replica.state.value
+                        for name, replica in one.replicas.items()
+                    },
+                    "adapters": [
+                        f"{model}/{adapter}" for model, adapter in one.adapters
+                    ],
+                    "free_mb": one.free_mb(now),
+                    "busy_s": max(0.0, (one.free_at - now).total_seconds()),
+                    "order": one.order.operation.value if one.order else None,
+                }
+                for target, one in self._stocks.items()
+            },
+        }
--- /dev/null
+++ b/src/quetzalgauge/core/placement.py
@@ -0,0 +1,274 @@
+"""Which model to load on which target, and what has to make way for it.
+
+The pattern answered: far more models than fit, asked for rarely but wanted
+within seconds. A target loads one model at a time, so its time is what is
+scarce. Each possible load is worth the requests that it serves in time, less
+what it takes away, for each second that it keeps the target busy; the best
+one goes first. All requests for a model ride on one load.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import datetime
+import itertools
+
+from quetzalgauge import ids
+from quetzalgauge.core import demand
+from quetzalgauge.core import stock
+
+# Worth of a request that is served later than its caller wants, as a share of
+# one served in time (the callers' tables give 0.15 to 0.3).
+LATE_WORTH = 0.15
+# Expected requests over this time count for a model that stays loaded.
+HORIZON_S = 2.0
+# Expected requests over this time count for a copy brought from the weight
+# store, since later loads of that model are short.
+COPY_HORIZON_S = 15.0
+# A model with more requests a second than this should be loaded in each zone.
+BUSY_RATE = 1.5
+# Worth of the first replica of a busy model in a zone.
+REPLICA_WORTH = 1.5
+# Worth of keeping the last replica of a busy model in a zone.
+LAST_REPLICA_WORTH = 4.0
+# Share of the expected requests that a further replica is worth.
+SPARE_SHARE = 0.1
+# A model that was loaded a moment ago stays until its requests have come.
+SHORTEST_STAY = datetime.timedelta(milliseconds=300)
+# Usual rest of a request that is running when its model is to be unloaded.
+RUN_REST = datetime.timedelta(milliseconds=600)
+# A target that could do it sooner by more than this is waited for.
+WAIT_GAIN = datetime.timedelta(milliseconds=250)
+# Most models that make way for one.
+MAX_VICTIMS = 2
+
+_ZERO = datetime.timedelta()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scene:
+    """What a choice depends on.
+
+    Attributes:
+        stocks: The targets that the holder orders.
+        wishes: For each wanted model, when its requests become late.
+        rate: Requests a second for a model.
+        running: Requests in progress.
+        elsewhere: Number of replicas of a model outside the zone.
+        copies_elsewhere: Number of other targets of the region that have a
+            copy of a model, besides the given one.
+        store_loads: Loads from the weight store that may begin now.
+    """
+
+    stocks: Sequence[stock.Stock]
+    wishes: Mapping[ids.ModelName, Sequence[datetime.timedelta]]
+    rate: Callable[[ids.ModelName], float]
+    running: demand.RunningCounts
+    elsewhere: Callable[[ids.ModelName], int]
+    copies_elsewhere: Callable[[ids.ModelName, ids.TargetId], int]
+    store_loads: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """A load that is worth beginning.
+
+    Attributes:
+        stock: The target.
+        model: The model to load.
+        victims: Models to unload first.
+        ready_at: When the model is expected to take requests.
+        score: Worth for each second of the target's time.
+        why: What the load is for.
+    """
+
+    stock: stock.Stock
+    model: ids.ModelName
+    victims: tuple[ids.ModelName, ...]
+    ready_at: datetime.timedelta
+    score: float
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Room:
+    victims: tuple[ids.ModelName, ...]
+    loss: float
+    wait: datetime.timedelta
+
+
+def choose(scene: Scene, now: datetime.timedelta) -> Choice | None:
+    """Returns the best load that can begin now, None if none is worth it."""
+    free = [one for one in scene.stocks if one.can_order(now)]
+    if not free:
+        return None
+    choices = []
+    for model in _wanted(scene, now):
+        soonest = _soonest(scene, model, now)
+        for one in free:
+            choice = _weigh(scene, one, model, soonest, now)
+            if choice is not None:
+                choices.append(choice)
+    return max(choices, key=lambda choice: choice.score, default=None)
+
+
+def _wanted(scene: Scene, now: datetime.timedelta) -> list[ids.ModelName]:
+    """Returns the models that are not loaded here and might be."""
+    here = {name for one in scene.stocks for name in one.replicas}
+    names: dict[ids.ModelName, None] = dict.fromkeys(scene.wishes)
+    for one in scene.stocks:
+        names.update(dict.fromkeys(one.engine.models))
+    return [name for name in names if name not in here]
+
+
+def _soonest(
+    scene: Scene, model: ids.ModelName, now: datetime.timedelta
+) -> datetime.timedelta:
+    """Returns when the fastest target could have a model."""
+    times = []
+    for one in scene.stocks:
+        if not one.is_known or one.description.leaving:
+            continue
+        if model not in one.engine.models:
+            continue
+        start = max(now, one.free_at)
+        times.append(start + stock.UNLOAD_TIME + one.load_time(model))
+    return min(times, default=now)
+
+
+def _weigh(
+    scene: Scene,
+    one: stock.Stock,
+    model: ids.ModelName,
+    soonest: datetime.timedelta,
+    now: datetime.timedelta,
+) -> Choice | None:
+    spec = one.engine.models.get(model)
+    if spec is None:
+        return None
+    load_time = one.load_time(model)
+    from_store = (
+        model not in one.copies.on_disk and model not in one.copies.in_memory
+    )
+    if from_store and scene.store_loads <= 0:
+        return None
+    room = _make_room(scene, one, spec.size_mb, now)
+    if room is None:
+        return None
+    unload_time = stock.UNLOAD_TIME * len(room.victims)
+    ready_at = now + room.wait + unload_time + load_time
+    if ready_at > soonest + WAIT_GAIN:
+        return None
+    gain, why = _gain(scene, one, model, ready_at, from_store)
+    if gain <= room.loss:
+        return None
+    seconds = (ready_at - now).total_seconds()
+    return Choice(
+        one,
+        model,
+        room.victims,
+        ready_at,
+        (gain - room.loss) / max(0.05, seconds),
+        why,
+    )
+
+
+def _gain(
+    scene: Scene,
+    one: stock.Stock,
+    model: ids.ModelName,
+    ready_at: datetime.timedelta,
+    from_store: bool,
+) -> tuple[float, str]:
+    """Returns what a load is worth, and what it is for."""
+    waiting = scene.wishes.get(model, ())
+    gain = sum(
+        1.0 if late_at >= ready_at else LATE_WORTH for late_at in waiting
+    )
+    why = "waiting" if waiting else "spare"
+    rate = scene.rate(model)
+    elsewhere = scene.elsewhere(model)
+    if rate >= BUSY_RATE:
+        if not waiting:
+            why = "busy"
+        gain += REPLICA_WORTH
+    elif not elsewhere:
+        gain += rate * HORIZON_S
+    elif not waiting:
+        return 0.0, why
+    if from_store and not scene.copies_elsewhere(model, one.target):
+        gain += rate * COPY_HORIZON_S
+        if not waiting:
+            why = "copy"
+    return gain, why
+
+
+def _make_room(
+    scene: Scene, one: stock.Stock, size_mb: float, now: datetime.timedelta
+) -> _Room | None:
+    """Returns the cheapest models to unload, None if there is no way."""
+    missing = size_mb - one.free_mb(now)
+    if missing <= 0:
+        return _Room((), 0.0, _ZERO)
+    candidates = [
+        name
+        for name, replica in one.replicas.items()
+        if replica.state is stock.State.READY
+        and now - replica.ready_at >= SHORTEST_STAY
+        and name not in scene.wishes
+    ]
+    rooms = [
+        _room_of(scene, one, names)
+        for count in range(1, MAX_VICTIMS + 1)
+        for names in itertools.combinations(candidates, count)
+        if _size(one, names) >= missing
+    ]
+    return min(
+        rooms,
+        key=lambda room: (
+            room.loss + room.wait.total_seconds(),
+            len(room.victims),
+        ),
+        default=None,
+    )
+
+
+def _room_of(
+    scene: Scene, one: stock.Stock, names: Iterable[ids.ModelName]
+) -> _Room:
+    loss = 0.0
+    wait = _ZERO
+    for name in names:
+        loss += _loss(scene, one, name)
+        if scene.running.of_model(one.target, name):
+            wait = RUN_REST
+    return _Room(tuple(names), loss, wait)
+
+
+def _loss(scene: Scene, one: stock.Stock, name: ids.ModelName) -> float:
+    """Returns what the unload of a model takes away."""
+    rate = scene.rate(name)
+    expected = rate * HORIZON_S
+    here = sum(name in other.replicas for other in scene.stocks) - 1
+    if here > 0:
+        return expected * SPARE_SHARE
+    if rate >= BUSY_RATE:
+        return max(LAST_REPLICA_WORTH, expected * SPARE_SHARE)
+    if scene.elsewhere(name):
+        return expected * SPARE_SHARE
+    return expected
+
+
+def _size(one: stock.Stock, names: Iterable[ids.ModelName]) -> float:
+    """Returns the memory that the unload of models gives back."""
+    total = 0.0
+    for name in names:
+        spec = one.engine.models.get(name)
+        if spec is None:
+            total += one.engine.memory_mb
+            continue
+        total += spec.size_mb
+        total += spec.adapter_mb * sum(key[0] == name for key in one.adapters)
+    return total
--- /dev/null
+++ b/src/quetzalgauge/core/seat.py
@@ -0,0 +1,432 @@
+"""Who may give orders to the targets of a zone.
+
+Each zone has a seat: one partition of a group in the platform's store. The
+member that holds the partition is the zone's holder. Orders to one target must
+never come from two machines within the lease time, and a target may not check
+fencing tokens, so safety rests on time:
+
+- A holder gives orders only for `ORDER_TIME` after it asked the store last and
+  was told that it has the seat.
+- A new holder waits for that time and the lease time, from the moment at
+  which it was told, unless a record in the store says that the last holder was
+  this same machine, or there was none.
+
+So a holder may go on through an outage of the store for `ORDER_TIME`, even if
+the store has meanwhile given the seat to another.
+"""
+
+import dataclasses
+import datetime
+import enum
+from typing import TypeAlias
+
+from quetzalgauge import ids
+from quetzalgauge.core import notes
+
+# A holder outlasts outages of the store up to this time.
+ORDER_TIME = datetime.timedelta(seconds=6)
+# The store gives the seat to another member after this silence.
+SEAT_TIME = datetime.timedelta(milliseconds=1500)
+# How often a holder asks whether it still has the seat.
+RENEW_INTERVAL = datetime.timedelta(milliseconds=500)
+# Clocks of two machines run at the same speed within this over the waits.
+CLOCK_MARGIN = datetime.timedelta(milliseconds=200)
+# An instance leaves the seat to the last holder for this time after a start.
+LAST_HOLDER_TIME = datetime.timedelta(milliseconds=2500)
+# How often a standby looks whether the seat is taken.
+STANDBY_INTERVAL = datetime.timedelta(seconds=2)
+# Pause after a failed call.
+RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
+
+_ZERO = datetime.timedelta()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """The last holder of a zone, as the store keeps it.
+
+    Attributes:
+        availability_zone: The zone.
+        machine: The machine; it has another name after a replacement.
+        address: Where other instances reach the holder.
+        token: Its fencing token.
+        released: Whether it gives no more orders.
+    """
+
+    availability_zone: ids.AvailabilityZone
+    machine: str
+    address: str
+    token: int
+    released: bool = False
+
+
+class _State(enum.Enum):
+    STANDBY = "standby"  # Not a member.
+    LOOKING = "looking"  # Asks who has the seat.
+    JOINING = "joining"  # Asks for the seat.
+    READING = "reading"  # Has the seat, reads who had it before.
+    WRITING = "writing"  # Writes that it has the seat.
+    HOLDING = "holding"
+    LEAVING = "leaving"  # A member without the seat.
+    LEFT = "left"  # Gave the seat up at the end of the process.
+
+
+# ---- Events ----------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Joined:
+    """The store answered a request for the seat.
+
+    Attributes:
+        asked_at: When the request was sent.
+        generation: Grows with each change of the group; 0 after a failure.
+        has_seat: Whether this instance has the seat.
+        failed: There was no answer.
+    """
+
+    asked_at: datetime.timedelta
+    generation: int
+    has_seat: bool
+    failed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerRead:
+    """The store told who has the seat; None: nobody."""
+
+    owner: str | None
+    failed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordRead:
+    """The record of the zone was read; None: there is none."""
+
+    record: Record | None
+    failed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordWritten:
+    """The store has the record, or it failed."""
+
+    record: Record
+    failed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Left:
+    """The store was told that this instance leaves the group."""
+
+
+Event: TypeAlias = Joined | OwnerRead | RecordRead | RecordWritten | Left
+
+
+# ---- Actions ---------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Join:
+    """Ask for the seat, or keep it; ends with Joined."""
+
+    availability_zone: ids.AvailabilityZone
+    machine: str
+    generation: int
+    silence: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave:
+    """Leave the group of the seat; ends with Left."""
+
+    availability_zone: ids.AvailabilityZone
+    machine: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadOwner:
+    """Ask who has the seat; ends with OwnerRead."""
+
+    availability_zone: ids.AvailabilityZone
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """Read the record of the zone; ends with RecordRead."""
+
+    availability_zone: ids.AvailabilityZone
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteRecord:
+    """Write the record of the zone; ends with RecordWritten."""
+
+    record: Record
+
+
+Action: TypeAlias = Join | Leave | ReadOwner | ReadRecord | WriteRecord
+
+
+class Seat:
+    """This instance's claim to the seat of a zone.
+
+    Args:
+        zone: The zone.
+        machine: This machine.
+        address: Where other instances reach this one.
+        lease: The lease time of the platform's rules.
+        delay: Wait before the first claim, so that instances that start
+            together do not all claim at once.
+        now: The time.
+    """
+
+    def __init__(
+        self,
+        zone: ids.AvailabilityZone,
+        machine: str,
+        address: str,
+        lease: datetime.timedelta,
+        delay: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        self._zone = zone
+        self._machine = machine
+        self._address = address
+        self._lease = lease
+        self._state = _State.STANDBY
+        self._generation = 0
+        self._token = 0
+        self._asked_at = _ZERO
+        self._told_at = _ZERO
+        self._orders_from = _ZERO
+        self._orders_until = _ZERO
+        self._next_at = now + delay
+        self._last: Record | None = None
+        self._last_seen = _ZERO
+        self._yield_until = now + LAST_HOLDER_TIME
+        self._knows_last = False
+        self._busy = False
+        self._notes: list[notes.Note] = []
+
+    # ---- Properties
+
+    @property
+    def zone(self) -> ids.AvailabilityZone:
+        """The zone."""
+        return self._zone
+
+    @property
+    def is_holding(self) -> bool:
+        """Whether this instance is the zone's holder."""
+        return self._state is _State.HOLDING
+
+    @property
+    def token(self) -> int:
+        """The fencing token of this holder."""
+        return self._token
+
+    @property
+    def orders_from(self) -> datetime.timedelta:
+        """When a new holder may give its first order."""
+        return self._orders_from
+
+    @property
+    def due(self) -> datetime.timedelta:
+        """When `act` is wanted next."""
+        return self._next_at
+
+    def may_order_until(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns the end of the right to give orders; zero without it."""
+        if self._state is not _State.HOLDING or now < self._orders_from:
+            return _ZERO
+        return self._orders_until
+
+    def take_notes(self) -> list[notes.Note]:
+        """Returns what changed since the last call."""
+        taken, self._notes = self._notes, []
+        return taken
+
+    # ---- Inputs
+
+    def note_last(self, record: Record | None, now: datetime.timedelta) -> None:
+        """The record of the zone, as followed; None if there is none."""
+        self._knows_last = True
+        if record != self._last:
+            self._last = record
+            self._last_seen = now
+
+    def step(self, event: Event, now: datetime.timedelta) -> None:
+        """Takes an answer of the store."""
+        self._busy = False
+        if self._state is _State.LEFT:
+            return
+        match event:
+            case Joined():
+                self._joined(event, now)
+            case OwnerRead():
+                self._owner_read(event, now)
+            case RecordRead():
+                self._record_read(event, now)
+            case RecordWritten():
+                self._record_written(event, now)
+
+    def act(
+        self, holder_is_alive: bool, now: datetime.timedelta
+    ) -> list[Action]:
+        """Returns the calls that are due; one at a time.
+
+        Args:
+            holder_is_alive: Whether the zone's holder has been heard lately.
+            now: The time.
+        """
+        if self._busy or now < self._next_at or self._state is _State.LEFT:
+            return []
+        action = self._next_action(holder_is_alive, now)
+        if action is None:
+            return []
+        self._busy = True
+        return [action]
+
+    def leave(self) -> list[Action]:
+        """Gives the seat up at the end of the process."""
+        was = self._state
+        self._state = _State.LEFT
+        self._orders_until = _ZERO
+        if was not in (_State.HOLDING, _State.WRITING):
+            return []
+        return [
+            WriteRecord(dataclasses.replace(self._own_record(), released=True)),
+            Leave(self._zone, self._machine),
+        ]
+
+    # ---- Steps
+
+    def _next_action(
+        self, holder_is_alive: bool, now: datetime.timedelta
+    ) -> Action | None:
+        match self._state:
+            case _State.STANDBY:
+                self._next_at = now + RETRY_INTERVAL
+                if not self._knows_last or holder_is_alive:
+                    return None
+                if self._was_last():
+                    self._state = _State.JOINING
+                    return self._join(now)
+                is_taken = self._last is not None and not self._last.released
+                if is_taken and now < self._yield_until:
+                    return None
+                self._state = _State.LOOKING
+                return ReadOwner(self._zone)
+            case _State.LOOKING:
+                return ReadOwner(self._zone)
+            case _State.READING:
+                return ReadRecord(self._zone)
+            case _State.WRITING:
+                return WriteRecord(self._own_record())
+            case _State.LEAVING:
+                self._state = _State.STANDBY
+                self._next_at = now + STANDBY_INTERVAL
+                return Leave(self._zone, self._machine)
+            case _State.HOLDING if not self._was_last():
+                # A claim that came to nothing left its record.
+                return WriteRecord(self._own_record())
+            case _:
+                return self._join(now)
+
+    def _join(self, now: datetime.timedelta) -> Action:
+        self._asked_at = now
+        self._next_at = now + RENEW_INTERVAL
+        return Join(self._zone, self._machine, self._generation, SEAT_TIME)
+
+    def _joined(self, event: Joined, now: datetime.timedelta) -> None:
+        if event.failed:
+            self._next_at = now + RETRY_INTERVAL
+            return
+        self._generation = event.generation
+        if not event.has_seat:
+            self._lose(now)
+            return
+        if self._state is _State.HOLDING:
+            lapsed = now >= self._orders_until
+            if not lapsed:
+                self._extend(event.asked_at)
+                return
+        if self._state in (_State.JOINING, _State.HOLDING):
+            # Another machine may have had the seat in between.
+            self._told_at = now
+            self._token = event.generation
+            self._asked_at = event.asked_at
+            self._state = _State.READING
+            self._next_at = now
+
+    def _extend(self, asked_at: datetime.timedelta) -> None:
+        self._orders_until = max(self._orders_until, asked_at + ORDER_TIME)
+
+    def _lose(self, now: datetime.timedelta) -> None:
+        """The store gave the seat to another, or has not given it yet."""
+        if self._state is _State.HOLDING:
+            self._note("seat_lost", {})
+        self._state = _State.LEAVING
+        self._generation = 0
+        self._orders_until = _ZERO
+        self._next_at = now
+
+    def _owner_read(self, event: OwnerRead, now: datetime.timedelta) -> None:
+        if event.failed:
+            self._next_at = now + RETRY_INTERVAL
+            return
+        if event.owner is None or event.owner == self._machine:
+            self._state = _State.JOINING
+            self._next_at = now
+            return
+        self._state = _State.STANDBY
+        self._next_at = now + STANDBY_INTERVAL
+
+    def _record_read(self, event: RecordRead, now: datetime.timedelta) -> None:
+        if event.failed:
+            self._next_at = now + RETRY_INTERVAL
+            return
+        self.note_last(event.record, now)
+        self._orders_from = self._first_order_at()
+        self._state = _State.WRITING
+        self._next_at = now
+
+    def _first_order_at(self) -> datetime.timedelta:
+        if self._last is None or self._was_last():
+            return self._told_at
+        wait = self._lease + CLOCK_MARGIN
+        if self._last.released:
+            return self._last_seen + wait
+        return self._told_at + ORDER_TIME + wait
+
+    def _record_written(
+        self, event: RecordWritten, now: datetime.timedelta
+    ) -> None:
+        if event.failed:
+            self._next_at = now + RETRY_INTERVAL
+            return
+        self._last = event.record
+        if self._state is _State.HOLDING:
+            return
+        self._state = _State.HOLDING
+        self._extend(self._asked_at)
+        self._next_at = self._asked_at + RENEW_INTERVAL
+        self._note(
+            "seat_taken",
+            {
+                "token": self._token,
+                "orders_in_s": max(
+                    0.0, (self._orders_from - now).total_seconds()
+                ),
+            },
+        )
+
+    def _was_last(self) -> bool:
+        return self._last is not None and self._last.machine == self._machine
+
+    def _own_record(self) -> Record:
+        return Record(self._zone, self._machine, self._address, self._token)
+
+    def _note(self, event: str, fields: dict[str, object]) -> None:
+        self._notes.append(notes.Note(event, {"zone": self._zone, **fields}))
--- a/src/quetzalgauge/entry.py
+++ b/src/quetzalgauge/entry.py
@@ -15,6 +15,7 @@
 import cyclopts
 
 from quetzalgauge import callers
+from quetzalgauge import callerwatch
 from quetzalgauge import calls
 from quetzalgauge import clock
 from quetzalgauge import controllink
@@ -66,7 +67,9 @@
         self._link = controllink.ControlLink(
             ids.EntryId(config.entry), str(config.control)
         )
-        self._watch = callers.CallerWatch(self._inbox.put)
+        self._watch = callerwatch.CallerWatch(
+            lambda token: self._inbox.put(calls.CallerGone(token))
+        )
         timeouts = targets.Timeouts(
             config.connect_timeout.total_seconds(),
             config.target_silence_timeout.total_seconds(),
--- a/src/quetzalgauge/httpclient.py
+++ b/src/quetzalgauge/httpclient.py
@@ -18,6 +18,7 @@
 import urllib3
 from urllib3 import connection as urllib3_connection
 
+from quetzalgauge import connections
 from quetzalgauge import exceptions
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -69,7 +70,11 @@
         make = urllib3_connection.HTTPConnection
         if parts.scheme == "https":
             make = urllib3_connection.HTTPSConnection
-        self._connection = make(parts.hostname or "", parts.port)
+        self._connection = make(
+            parts.hostname or "",
+            parts.port,
+            socket_options=connections.SOCKET_OPTIONS,
+        )
 
     def is_open(self) -> bool:
         """Tells whether the connection is open and its server kept it so."""
@@ -111,7 +116,8 @@
             method: HTTP method.
             path: Path with query, from the root of the service.
             timeout: Longest wait for the whole answer.
-            body: Sent as JSON unless None.
+            body: Bytes are sent as they are, anything else as JSON unless
+                None.
             headers: Further headers.
             reuse_only: Send only on the connection that is open already.
 
@@ -151,8 +157,8 @@
         deadline = time.monotonic() + timeout.total_seconds()
         # The status of a target with 8 models is 2 KB and most of it repeats.
         sent_headers = {"Accept-Encoding": "gzip", **(headers or {})}
-        data = None
-        if body is not None:
+        data = body if isinstance(body, bytes) else None
+        if body is not None and data is None:
             data = json.dumps(body, separators=(",", ":")).encode()
             sent_headers["Content-Type"] = "application/json"
         self._set_timeout(deadline)
--- /dev/null
+++ b/src/quetzalgauge/node/codec.py
@@ -0,0 +1,194 @@
+"""Messages between instances in their Thrift form."""
+
+import datetime
+
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from quetzalgauge import exceptions
+from quetzalgauge import ids
+from quetzalgauge.core import exchange
+from quetzalgauge.gen.exchange import ttypes
+
+# Bounds the memory that a declared length makes the decoder allocate.
+MAX_CONTAINER_LENGTH = 100_000
+# Times are told within a day, as 32-bit milliseconds.
+_LONGEST = datetime.timedelta(days=1)
+
+
+def encode(message: exchange.Message) -> bytes:
+    """Returns the bytes of a message."""
+    if isinstance(message, exchange.Report):
+        wire = ttypes.Message(report=_report(message))
+    else:
+        wire = ttypes.Message(board=_board(message))
+    buffer = TTransport.TMemoryBuffer()
+    wire.write(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    data: bytes = buffer.getvalue()
+    return data
+
+
+def decode(data: bytes) -> exchange.Message:
+    """Returns the message in some bytes.
+
+    Raises:
+        exceptions.DecodeError: They are none.
+    """
+    wire = ttypes.Message()
+    buffer = TTransport.TMemoryBuffer(data)
+    protocol = TCompactProtocol.TCompactProtocolAccelerated(
+        buffer,
+        string_length_limit=len(data),
+        container_length_limit=MAX_CONTAINER_LENGTH,
+    )
+    try:
+        wire.read(protocol)
+        if wire.report is not None:
+            return _decode_report(wire.report)
+        if wire.board is not None:
+            return _decode_board(wire.board)
+    except Exception as error:
+        # Thrift raises many kinds of errors on bytes that are no message.
+        raise exceptions.DecodeError(f"no message: {error!r}") from error
+    raise exceptions.DecodeError("an empty message")
+
+
+def _milliseconds(duration: datetime.timedelta) -> int:
+    bounded = max(-_LONGEST, min(_LONGEST, duration))
+    return round(bounded.total_seconds() * 1000)
+
+
+def _duration(milliseconds: int) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=milliseconds)
+
+
+def _report(report: exchange.Report) -> ttypes.Report:
+    return ttypes.Report(
+        report.instance,
+        [
+            ttypes.Wish(
+                wish.model,
+                wish.waiting,
+                [_milliseconds(slack) for slack in wish.slacks],
+            )
+            for wish in report.wishes
+        ],
+        [
+            ttypes.AdapterWish(wish.target, wish.model, wish.adapter)
+            for wish in report.adapter_wishes
+        ],
+        [
+            ttypes.Running(
+                row.target, row.model or "", row.adapter or "", row.count
+            )
+            for row in report.running
+        ],
+        dict(report.arrivals),
+    )
+
+
+def _decode_report(wire: ttypes.Report) -> exchange.Report:
+    return exchange.Report(
+        ids.InstanceId(wire.instance),
+        tuple(
+            exchange.Wish(
+                ids.ModelName(wish.model),
+                wish.waiting,
+                tuple(_duration(slack) for slack in wish.slacks),
+            )
+            for wish in wire.wishes
+        ),
+        tuple(
+            exchange.AdapterWish(
+                ids.TargetId(wish.target),
+                ids.ModelName(wish.model),
+                ids.AdapterName(wish.adapter),
+            )
+            for wish in wire.adapter_wishes
+        ),
+        tuple(
+            exchange.Running(
+                ids.TargetId(row.target),
+                ids.ModelName(row.model) if row.model else None,
+                ids.AdapterName(row.adapter) if row.adapter else None,
+                row.count,
+            )
+            for row in wire.running
+        ),
+        tuple(
+            (ids.ModelName(model), count)
+            for model, count in wire.arrivals.items()
+        ),
+    )
+
+
+def _board(board: exchange.Board) -> ttypes.Board:
+    return ttypes.Board(
+        board.availability_zone,
+        board.holder,
+        board.token,
+        board.complete,
+        _milliseconds(board.orders_in),
+        board.backlog,
+        board.instances,
+        [_view(view) for view in board.targets],
+        list(board.gone),
+    )
+
+
+def _view(view: exchange.TargetView) -> ttypes.TargetView:
+    return ttypes.TargetView(
+        view.target,
+        view.incarnation,
+        [
+            ttypes.ReplicaView(
+                one.model, _milliseconds(one.ready_in), one.closing
+            )
+            for one in view.replicas
+        ],
+        [
+            ttypes.AdapterView(
+                one.model, one.adapter, _milliseconds(one.ready_in)
+            )
+            for one in view.adapters
+        ],
+        _milliseconds(view.busy_for),
+        view.running,
+    )
+
+
+def _decode_board(wire: ttypes.Board) -> exchange.Board:
+    return exchange.Board(
+        ids.AvailabilityZone(wire.availability_zone),
+        ids.InstanceId(wire.holder),
+        wire.token,
+        wire.complete,
+        _duration(wire.orders_in),
+        wire.backlog,
+        wire.instances,
+        tuple(_decode_view(view) for view in wire.targets),
+        tuple(ids.TargetId(target) for target in wire.gone),
+    )
+
+
+def _decode_view(wire: ttypes.TargetView) -> exchange.TargetView:
+    return exchange.TargetView(
+        ids.TargetId(wire.target),
+        wire.incarnation,
+        tuple(
+            exchange.ReplicaView(
+                ids.ModelName(one.model), _duration(one.ready_in), one.closing
+            )
+            for one in wire.replicas
+        ),
+        tuple(
+            exchange.AdapterView(
+                ids.ModelName(one.model),
+                ids.AdapterName(one.adapter),
+                _duration(one.ready_in),
+            )
+            for one in wire.adapters
+        ),
+        _duration(wire.busy_for),
+        wire.running,
+    )
--- /dev/null
+++ b/src/quetzalgauge/node/listener.py
@@ -0,0 +1,292 @@
+"""The listener for callers (cheroot), with strict framing.
+
+Requests whose framing two readers could read differently are refused and their
+connection is closed, since an intermediary may read them differently.
+"""
+
+from collections.abc import Callable
+import contextlib
+import http.client
+import itertools
+import re
+from typing import Any
+
+import cheroot.server
+
+from quetzalgauge import exceptions
+from quetzalgauge import logs
+from quetzalgauge.core import configuration
+
+BACKLOG = 1024
+KEEP_ALIVE_CONNECTIONS = 3000
+# Threads at the start, and added when fewer than `SPARE_THREADS` are idle.
+FIRST_THREADS = 24
+SPARE_THREADS = 8
+# Longest pause of a caller that takes an answer.
+WRITE_SECONDS = 10.0
+# Cheroot expires idle connections by the time of day, which may jump.
+IDLE_MARGIN_SECONDS = 30.0
+
+_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
+_VALUE = re.compile(rb"[\t -~\x80-\xff]*\Z")
+_LENGTH = re.compile(rb"[0-9]{1,15}\Z")
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})(?:[ \t]*;[^\r\n]*)?\r\n\Z")
+_MAX_LINE = 4096
+_CRLF = b"\r\n"
+
+_log = logs.make_logger("listener")
+
+
+class _Headers(dict):
+    """Headers for cheroot, which also keeps every line as it came."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.pairs: list[tuple[str, str]] = []
+
+
+class _HeaderReader:
+    """Reads headers; raises ValueError where two readers could disagree."""
+
+    def __call__(self, rfile: Any, hdict: Any) -> Any:
+        counts: dict[bytes, int] = {}
+        while True:
+            line = rfile.readline()
+            if not line:
+                raise ValueError("the headers are incomplete")
+            if line == _CRLF:
+                break
+            if not line.endswith(_CRLF):
+                raise ValueError("a header line has no CRLF")
+            name, colon, value = line[:-2].partition(b":")
+            value = value.strip(b" \t")
+            if not colon or not _NAME.match(name) or not _VALUE.match(value):
+                raise ValueError("a header line is malformed")
+            hdict.pairs.append((name.decode(), value.decode("latin-1")))
+            key = name.title()
+            counts[key] = counts.get(key, 0) + 1
+            hdict[key] = value
+        for key in (b"Content-Length", b"Transfer-Encoding", b"Host"):
+            if counts.get(key, 0) > 1:
+                raise ValueError(f"{key.decode()} stands twice")
+        _check_framing(hdict)
+        return hdict
+
+
+def _check_framing(headers: dict[bytes, bytes]) -> None:
+    length = headers.get(b"Content-Length")
+    encoding = headers.get(b"Transfer-Encoding")
+    if length is not None and not _LENGTH.match(length):
+        raise ValueError("Content-Length is no number")
+    if encoding is None:
+        return
+    if length is not None:
+        raise ValueError("Content-Length and Transfer-Encoding")
+    if encoding.lower() != b"chunked":
+        raise ValueError("Transfer-Encoding is not chunked")
+
+
+class Request(cheroot.server.HTTPRequest):
+    """A request of a caller."""
+
+    header_reader = _HeaderReader()
+
+    def __init__(self, server: Any, conn: Any, *args: Any, **more: Any) -> None:
+        super().__init__(server, conn, *args, **more)
+        self.inheaders = _Headers()
+
+    @property
+    def pairs(self) -> list[tuple[str, str]]:
+        """All headers as they came."""
+        pairs: list[tuple[str, str]] = self.inheaders.pairs
+        return pairs
+
+    def parse_request(self) -> None:
+        """Reads the request line and the headers."""
+        limits = self.server.limits()
+        handle = self.conn.socket
+        handle.settimeout(limits.header_timeout.total_seconds())
+        super().parse_request()
+        if self.ready and self._closes():
+            self.close_connection = True
+        if (
+            self.ready
+            and self.request_protocol == b"HTTP/1.0"
+            and (b"Transfer-Encoding" in self.inheaders)
+        ):
+            self.ready = False
+            self.simple_response("400 Bad Request")
+
+    def _closes(self) -> bool:
+        value = self.inheaders.get(b"Connection", b"").lower()
+        return b"close" in [part.strip() for part in value.split(b",")]
+
+    def simple_response(self, status: Any, msg: str = "") -> None:
+        """Refuses what is not valid HTTP, and closes the connection."""
+        number = int(str(status)[:3])
+        if number == 413:
+            # Cheroot says this of headers; bodies are checked elsewhere.
+            number = 431
+        self.close_connection = True
+        self.server.count_invalid(number, msg)
+        write_plain(self, number, msg)
+
+    def respond(self) -> None:
+        """Answers the request."""
+        self.server.serve_request(self)
+
+    def read_body(self) -> bytes:
+        """Reads the body.
+
+        Raises:
+            BodyError: It is too long, malformed or incomplete.
+        """
+        limits = self.server.limits()
+        self.conn.socket.settimeout(limits.header_timeout.total_seconds())
+        try:
+            if b"Transfer-Encoding" in self.inheaders:
+                return _read_chunks(self.conn.rfile, limits.body_bytes)
+            length = int(self.inheaders.get(b"Content-Length", b"0"))
+            if length > limits.body_bytes:
+                raise BodyError(413, "the body is too long")
+            body: bytes = self.conn.rfile.read(length) if length else b""
+        except TimeoutError:
+            raise BodyError(408, "the body did not arrive in time") from None
+        except OSError as error:
+            raise BodyError(400, str(error)) from error
+        if len(body) < length:
+            raise BodyError(400, "the body is incomplete")
+        return body
+
+
+class BodyError(exceptions.QuetzalgaugeError):
+    """A body cannot be read.
+
+    Attributes:
+        status: HTTP status of the refusal.
+    """
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+
+
+def _read_chunks(rfile: Any, limit: int) -> bytes:
+    parts = []
+    total = 0
+    while True:
+        match = _CHUNK_SIZE.match(_read_line(rfile))
+        if match is None:
+            raise BodyError(400, "a chunk size is malformed")
+        size = int(match.group(1), 16)
+        if size == 0:
+            break
+        total += size
+        if total > limit:
+            raise BodyError(413, "the body is too long")
+        data = rfile.read(size + 2)
+        if len(data) < size + 2 or data[-2:] != _CRLF:
+            raise BodyError(400, "a chunk is malformed")
+        parts.append(data[:-2])
+    while _read_line(rfile) != _CRLF:
+        pass  # Trailers say nothing that anybody here uses.
+    return b"".join(parts)
+
+
+def _read_line(rfile: Any) -> bytes:
+    line: bytes = rfile.readline(_MAX_LINE)
+    if not line.endswith(_CRLF):
+        raise BodyError(400, "a line of a chunked body is malformed")
+    return line
+
+
+class _Connection(cheroot.server.HTTPConnection):
+    RequestHandlerClass = Request
+
+
+class Server(cheroot.server.HTTPServer):
+    """The listener for callers.
+
+    Args:
+        address: Host and port.
+        limits: Returns what callers may send.
+        threads: Most worker threads.
+        serve: Called in a worker thread with each request.
+        count_invalid: Called with the status of each refusal of bad HTTP.
+    """
+
+    ConnectionClass = _Connection
+    request_queue_size = BACKLOG
+    keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        limits: Callable[[], configuration.CallerLimits],
+        threads: int,
+        serve: Callable[[Request], None],
+        count_invalid: Callable[[int, str], None],
+    ) -> None:
+        super().__init__(
+            address,
+            cheroot.server.Gateway,
+            minthreads=min(FIRST_THREADS, threads),
+            maxthreads=threads,
+        )
+        self.limits = limits
+        self.count_invalid = count_invalid
+        self._serve = serve
+        self._threads = threads
+        self._busy = itertools.count()
+        self._done = itertools.count()
+        self._begun_count = 0
+        self._done_count = 0
+        self.use_limits()
+
+    def use_limits(self) -> None:
+        """Takes over limits that a configuration has changed."""
+        limits = self.limits()
+        self.max_request_header_size = limits.header_bytes
+        idle = limits.idle_timeout.total_seconds()
+        self.timeout = int(idle + IDLE_MARGIN_SECONDS)
+
+    def serve_request(self, request: Request) -> None:
+        """Serves a request and keeps some threads idle for the next ones."""
+        self._begun_count = next(self._busy) + 1
+        self._grow()
+        try:
+            self._serve(request)
+        finally:
+            self._done_count = next(self._done) + 1
+            with contextlib.suppress(OSError):
+                request.conn.socket.settimeout(self.timeout)
+
+    def _grow(self) -> None:
+        busy = self._begun_count - self._done_count
+        size = len(self.requests._threads)
+        if size - busy < SPARE_THREADS and size < self._threads:
+            self.requests.grow(min(SPARE_THREADS, self._threads - size))
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Writes a log line of cheroot."""
+        if msg:
+            _log.log(level, "%s", msg, exc_info=traceback)
+
+
+def write_plain(
+    request: Any,
+    status: int,
+    body: bytes | str,
+    content_type: str = "text/plain",
+) -> None:
+    """Writes a short answer; a caller that has gone does not matter."""
+    data = body if isinstance(body, bytes) else body.encode()
+    head = (
+        f"HTTP/1.1 {status} {http.client.responses.get(status, 'Error')}\r\n"
+        f"Content-Type: {content_type}\r\nContent-Length: {len(data)}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    with contextlib.suppress(OSError):
+        request.conn.socket.sendall(head.encode() + data)
--- /dev/null
+++ b/src/quetzalgauge/node/ordering.py
@@ -0,0 +1,122 @@
+"""Orders to targets and questions for their status: a task for each target."""
+
+from collections.abc import Callable
+import datetime
+from typing import Any
+
+from quetzalgauge import clock
+from quetzalgauge import exceptions
+from quetzalgauge import httpclient
+from quetzalgauge import tasks
+from quetzalgauge.core import orders
+from quetzalgauge.node import journal
+from quetzalgauge.node import meters
+from quetzalgauge.platform import engine
+
+ORDER_TIMEOUT = datetime.timedelta(milliseconds=400)
+STATUS_TIMEOUT = datetime.timedelta(milliseconds=300)
+CONNECT_TIMEOUT = datetime.timedelta(milliseconds=250)
+# The targets of a zone at the target size are about 110.
+MAX_TASKS = 200
+UNUSED_TIME = datetime.timedelta(seconds=30)
+# A target closes idle connections after 10 s; an order that meets such a
+# connection has an unknown outcome.
+MAX_IDLE = datetime.timedelta(seconds=4)
+
+
+def make_ordering(
+    machine: str,
+    tell: Callable[[orders.Event], None],
+    now: clock.Clock,
+    log: journal.Journal,
+    counters: meters.Meters,
+    on_failure: Callable[[str], None],
+) -> Callable[[orders.Action], None]:
+    """Returns a function that carries out actions in the tasks of targets.
+
+    Args:
+        machine: The name under which orders are given.
+        tell: Gets the events.
+        now: The clock.
+        log: Gets a line for each question without an answer.
+        counters: The metrics.
+        on_failure: Called if a task fails.
+    """
+
+    def make(
+        address: Any,
+    ) -> tuple[Callable[[Any], None], Callable[[], None]]:
+        connection = httpclient.Connection(f"http://{address}", CONNECT_TIMEOUT)
+        used = now()
+
+        def handle(action: orders.Action) -> None:
+            nonlocal used
+            if now() - used > MAX_IDLE:
+                connection.close()
+            if isinstance(action, orders.Give):
+                answer = _give(action, connection, machine, now)
+                counters.count_order(action.order.operation.value, answer.value)
+                tell(orders.Answered(action.order, answer))
+            else:
+                tell(_ask(action, connection, now, log))
+            used = now()
+
+        return handle, connection.close
+
+    keyed = tasks.KeyedTasks("orders", make, MAX_TASKS, UNUSED_TIME, on_failure)
+
+    def put(action: orders.Action) -> None:
+        if isinstance(action, orders.Give):
+            address = action.order.address
+        else:
+            address = action.address
+        if keyed.send(address, action, now()):
+            return
+        if isinstance(action, orders.Give):
+            tell(orders.Answered(action.order, orders.Answer.NOT_SENT))
+        else:
+            tell(
+                orders.StatusRead(
+                    action.target, action.incarnation, None, now()
+                )
+            )
+
+    return put
+
+
+def _give(
+    action: orders.Give,
+    connection: httpclient.Connection,
+    machine: str,
+    now: clock.Clock,
+) -> orders.Answer:
+    try:
+        connection.open()
+    except exceptions.NotSentError:
+        return orders.Answer.NOT_SENT
+    # Checked last, since a pause of this process may come at any time.
+    if now() >= action.not_after:
+        return orders.Answer.NOT_SENT
+    return engine.give_order(connection, action.order, machine, ORDER_TIMEOUT)
+
+
+def _ask(
+    action: orders.AskStatus,
+    connection: httpclient.Connection,
+    now: clock.Clock,
+    log: journal.Journal,
+) -> orders.StatusRead:
+    asked_at = now()
+    try:
+        status = engine.ask_status(connection, action.target, STATUS_TIMEOUT)
+    except (exceptions.PlatformError, exceptions.DecodeError) as error:
+        connection.close()
+        log.write(
+            "status_unknown", {"target": action.target, "error": str(error)}
+        )
+        return orders.StatusRead(
+            action.target, action.incarnation, None, asked_at
+        )
+    return orders.StatusRead(
+        action.target, action.incarnation, status, asked_at
+    )
--- /dev/null
+++ b/src/quetzalgauge/node/seating.py
@@ -0,0 +1,83 @@
+"""Calls of the seat to the platform's store: one task, one call at a time."""
+
+from collections.abc import Callable
+from typing import Any
+
+from quetzalgauge import clock
+from quetzalgauge import exceptions
+from quetzalgauge.core import seat
+from quetzalgauge.node import journal
+from quetzalgauge.platform import seats
+from quetzalgauge.platform import store
+
+_ERRORS = (exceptions.PlatformError, exceptions.DecodeError)
+
+
+def make_seating(
+    address: str,
+    tell: Callable[[seat.Event], None],
+    now: clock.Clock,
+    log: journal.Journal,
+) -> Callable[[Any], None]:
+    """Returns the function of the task that carries out the seat's actions.
+
+    Args:
+        address: IP-NUMBER:PORT of the store.
+        tell: Gets the events.
+        now: The clock.
+        log: Gets a line for each failed call.
+    """
+    client = store.Store(address)
+
+    def handle(action: seat.Action) -> None:
+        asked_at = now()
+        try:
+            event = _carry_out(client, action, asked_at)
+        except _ERRORS as error:
+            client.close()
+            log.write(
+                "seat_call_failed",
+                {"call": type(action).__name__, "error": str(error)},
+            )
+            event = _failed(action, asked_at)
+        tell(event)
+
+    return handle
+
+
+def _carry_out(
+    client: store.Store, action: seat.Action, asked_at: Any
+) -> seat.Event:
+    match action:
+        case seat.Join():
+            generation, has_seat = seats.join(client, action)
+            return seat.Joined(asked_at, generation, has_seat)
+        case seat.ReadOwner():
+            owner = seats.read_owner(client, action.availability_zone)
+            return seat.OwnerRead(owner)
+        case seat.ReadRecord():
+            items, _ = client.read_newest(seats.TOPIC)
+            for item in items:
+                if item.key == action.availability_zone and item.value:
+                    record = seats.decode_record(item.key, item.value)
+                    return seat.RecordRead(record)
+            return seat.RecordRead(None)
+        case seat.WriteRecord():
+            seats.write_record(client, action.record)
+            return seat.RecordWritten(action.record)
+        case seat.Leave():
+            seats.leave(client, action)
+    return seat.Left()
+
+
+def _failed(action: seat.Action, asked_at: Any) -> seat.Event:
+    match action:
+        case seat.Join():
+            return seat.Joined(asked_at, 0, False, failed=True)
+        case seat.ReadOwner():
+            return seat.OwnerRead(None, failed=True)
+        case seat.ReadRecord():
+            return seat.RecordRead(None, failed=True)
+        case seat.WriteRecord():
+            return seat.RecordWritten(action.record, failed=True)
+    return seat.Left()
--- /dev/null
+++ b/src/quetzalgauge/node/settings.py
@@ -0,0 +1,207 @@
+"""Settings of an instance: JSON with comments.
+
+Keys that this version does not know are taken and ignored, since the platform
+adds some. What is missing or wrong is reported together, each with its place.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import datetime
+import ipaddress
+import json
+import pathlib
+import re
+from typing import Any
+from typing import TypeVar
+
+from quetzalgauge import exceptions
+from quetzalgauge import findings
+from quetzalgauge import ids
+
+Value = TypeVar("Value")
+
+_LINE_COMMENT = re.compile(r"^\s*//.*$", re.MULTILINE)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """IP number and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Returns IP-NUMBER:PORT."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of an instance.
+
+    Attributes:
+        instance: Name of the instance.
+        availability_zone: Its zone.
+        listen: Where callers connect.
+        ready_listen: Where the platform asks whether to send callers.
+        link_listen: Where other instances connect.
+        operator_listen: Where operators read metrics and state.
+        store: The platform's store.
+        memory_mb: Memory of the process.
+        max_descriptors: Descriptors of the process.
+        retry_ratio: Repeats for each request, over all instances.
+        retry_slack: Repeats in each window besides, over all instances.
+        retry_window: The window.
+        lease: Orders to one target never come from two machines within it.
+        stop_time: From SIGTERM to SIGKILL.
+    """
+
+    instance: ids.InstanceId
+    availability_zone: ids.AvailabilityZone
+    listen: Address
+    ready_listen: Address
+    link_listen: Address
+    operator_listen: Address
+    store: Address
+    memory_mb: float
+    max_descriptors: int
+    retry_ratio: float
+    retry_slack: float
+    retry_window: datetime.timedelta
+    lease: datetime.timedelta
+    stop_time: datetime.timedelta
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Reads a settings file.
+
+    Raises:
+        exceptions.FindingsError: The file is missing or invalid.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeError) as error:
+        raise exceptions.FindingsError([f"{path}: {error}"]) from error
+    return parse(text, str(path))
+
+
+def parse(text: str, source: str) -> Settings:
+    """Returns the settings in a text.
+
+    Args:
+        text: JSON with comments.
+        source: Name of the text, for findings.
+
+    Raises:
+        exceptions.FindingsError: With all findings.
+    """
+    try:
+        value = json.loads(_LINE_COMMENT.sub("", text))
+    except ValueError:
+        # Other comments, or an error whose place is wanted. The parser with
+        # places is imported only then, since it costs start-up time and
+        # memory.
+        from quetzalgauge import jsonc
+
+        value = jsonc.parse(text, source).value
+    reader = _Reader(value)
+    settings = _read(reader)
+    if reader.faults:
+        findings.raise_if_any(_place(reader.faults, text, source))
+    return settings
+
+
+def _read(reader: "_Reader") -> Settings:
+    return Settings(
+        ids.InstanceId(reader.get("instance", _text, "")),
+        ids.AvailabilityZone(reader.get("availability_zone", _text, "")),
+        reader.get("listen", _address, _NOWHERE),
+        reader.get("ready_listen", _address, _NOWHERE),
+        reader.get("link_listen", _address, _NOWHERE),
+        reader.get("operator_listen", _address, _NOWHERE),
+        reader.get("store", _address, _NOWHERE),
+        reader.get("memory_mb", _positive, 1.0),
+        int(reader.get("max_descriptors", _positive, 1.0)),
+        reader.get("retry_ratio", _number, 0.0),
+        reader.get("retry_slack", _number, 0.0),
+        reader.get("retry_window_s", _seconds, datetime.timedelta(seconds=1)),
+        reader.get("lease_ms", _milliseconds, datetime.timedelta(seconds=1)),
+        reader.get("stop_time_s", _seconds, datetime.timedelta(seconds=1)),
+    )
+
+
+class _Reader:
+    """Reads the keys of an object and collects what is wrong with them."""
+
+    def __init__(self, value: Any) -> None:
+        self.faults: list[tuple[findings.Path, str]] = []
+        self._value = value if isinstance(value, dict) else {}
+        if not isinstance(value, dict):
+            self.faults.append(((), "the settings must be an object"))
+
+    def get(
+        self, key: str, convert: Callable[[Any], Value], default: Value
+    ) -> Value:
+        if key not in self._value:
+            self.faults.append(((key,), "is missing"))
+            return default
+        try:
+            return convert(self._value[key])
+        except ValueError as error:
+            self.faults.append(((key,), str(error)))
+            return default
+
+
+def _place(
+    faults: list[tuple[findings.Path, str]], text: str, source: str
+) -> list[findings.Finding]:
+    from quetzalgauge import jsonc
+
+    lines = jsonc.parse(text, source).lines
+    return [
+        findings.Finding(source, lines.get(path, 0), path, message)
+        for path, message in faults
+    ]
+
+
+_NOWHERE = Address("127.0.0.1", 1)
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError("must be a text")
+    return value
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError("must be a number")
+    if value < 0:
+        raise ValueError("must not be negative")
+    return float(value)
+
+
+def _positive(value: Any) -> float:
+    number = _number(value)
+    if number <= 0:
+        raise ValueError("must be above 0")
+    return number
+
+
+def _seconds(value: Any) -> datetime.timedelta:
+    return datetime.timedelta(seconds=_positive(value))
+
+
+def _milliseconds(value: Any) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=_positive(value))
+
+
+def _address(value: Any) -> Address:
+    host, _, port = _text(value).rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError("must be IP-NUMBER:PORT") from None
+    if not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("must be IP-NUMBER:PORT")
+    return Address(host, int(port))
--- /dev/null
+++ b/src/quetzalgauge/platform/config.py
@@ -0,0 +1,148 @@
+"""The configuration as the operator writes it to the store."""
+
+import datetime
+import json
+from typing import Any
+
+from quetzalgauge import exceptions
+from quetzalgauge import fields
+from quetzalgauge import ids
+from quetzalgauge.core import configuration
+
+# Topic and key of the newest configuration.
+TOPIC = "keyed.op"
+KEY = "config"
+
+_KINDS = {
+    "safe": configuration.Kind.SAFE,
+    "unsafe": configuration.Kind.UNSAFE,
+    "stream": configuration.Kind.STREAM,
+}
+
+
+def decode(data: bytes) -> configuration.Configuration:
+    """Returns the configuration of a record's value.
+
+    Raises:
+        exceptions.DecodeError: It is no configuration.
+    """
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise exceptions.DecodeError(f"configuration: {error}") from error
+    value = fields.mapping(value, "configuration")
+    return configuration.Configuration(
+        fields.integer(value, "version"),
+        [_route(row) for row in fields.rows(value, "routes")],
+        [_service(row) for row in fields.rows(value, "services")],
+        _limits(fields.mapping(value.get("limits", {}), "limits")),
+    )
+
+
+def _route(row: Any) -> configuration.Route:
+    row = fields.mapping(row, "route")
+    kind = _KINDS.get(fields.text(row, "kind"), configuration.Kind.UNSAFE)
+    resumable = kind is configuration.Kind.STREAM and fields.flag(
+        row, "can_resume", False
+    )
+    gap = row.get("gap_aim_ms")
+    timeout = _milliseconds(row, "timeout_ms")
+    return configuration.Route(
+        ids.RouteName(fields.text(row, "name")),
+        configuration.strip_port(fields.text(row, "host")),
+        fields.text(row, "path_prefix"),
+        kind,
+        timeout,
+        _milliseconds(row, "target_latency_ms", timeout),
+        max(1, fields.integer(row, "attempts", 1)),
+        fields.integer(row, "priority", 5),
+        _backends(row),
+        resumable,
+        None if gap is None else _milliseconds(row, "gap_aim_ms"),
+    )
+
+
+def _backends(row: dict[str, Any]) -> tuple[configuration.Backend, ...]:
+    rows = fields.rows(row, "backends")
+    if not rows:
+        service = ids.ServiceName(fields.text(row, "service"))
+        return (configuration.Backend(service, 1.0),)
+    backends = []
+    for item in rows:
+        one = fields.mapping(item, "backend")
+        backends.append(
+            configuration.Backend(
+                ids.ServiceName(fields.text(one, "service")),
+                _number(one, "weight"),
+            )
+        )
+    return tuple(backends)
+
+
+def _service(row: Any) -> configuration.Service:
+    row = fields.mapping(row, "service")
+    engine = row.get("engine")
+    return configuration.Service(
+        ids.ServiceName(fields.text(row, "name")),
+        fields.integer(row, "max_conns", 64),
+        None if engine is None else _engine(fields.mapping(engine, "engine")),
+    )
+
+
+def _engine(row: dict[str, Any]) -> configuration.Engine | None:
+    models = [_model(item) for item in fields.rows(row, "models")]
+    return configuration.Engine(
+        fields.integer(row, "slots", 1),
+        int(_number(row, "kv_capacity", 0.0)),
+        _number(row, "model_size", 0.0),
+        fields.integer(row, "adapter_slots", 0),
+        _number(row, "host_mb", 0.0),
+        _number(row, "disk_mb", 0.0),
+        _number(row, "loads_per_s", 0.0),
+        {model.name: model for model in models},
+    )
+
+
+def _model(row: Any) -> configuration.Model:
+    row = fields.mapping(row, "model")
+    store_load = _number(row, "load_s")
+    disk_load = _number(row, "disk_s", store_load)
+    return configuration.Model(
+        ids.ModelName(fields.text(row, "name")),
+        _number(row, "model_size"),
+        datetime.timedelta(seconds=store_load),
+        datetime.timedelta(seconds=disk_load),
+        # `warm_s` is a load from a copy in host memory.
+        datetime.timedelta(seconds=_number(row, "warm_s", disk_load)),
+        fields.integer(row, "adapters", 0),
+        _number(row, "adapter_mb", 0.0),
+    )
+
+
+def _limits(row: dict[str, Any]) -> configuration.CallerLimits:
+    usual = configuration.CallerLimits()
+    return configuration.CallerLimits(
+        fields.integer(row, "max_header_bytes", usual.header_bytes),
+        fields.integer(row, "max_body_bytes", usual.body_bytes),
+        _milliseconds(row, "header_timeout_ms", usual.header_timeout),
+        _milliseconds(row, "idle_timeout_ms", usual.idle_timeout),
+    )
+
+
+def _number(
+    row: dict[str, Any], key: str, default: float | None = None
+) -> float:
+    found = row.get(key, default)
+    if isinstance(found, bool) or not isinstance(found, int | float):
+        raise exceptions.DecodeError(f"{key} is missing or no number")
+    return float(found)
+
+
+def _milliseconds(
+    row: dict[str, Any],
+    key: str,
+    default: datetime.timedelta | None = None,
+) -> datetime.timedelta:
+    if default is not None and key not in row:
+        return default
+    return datetime.timedelta(milliseconds=_number(row, key))
--- /dev/null
+++ b/src/quetzalgauge/platform/engine.py
@@ -0,0 +1,107 @@
+"""Orders to model engines and their reports."""
+
+import datetime
+import json
+from typing import Any
+
+from quetzalgauge import exceptions
+from quetzalgauge import fields
+from quetzalgauge import httpclient
+from quetzalgauge import ids
+from quetzalgauge.core import orders
+from quetzalgauge.platform import register
+
+_ANSWERS = {
+    200: orders.Answer.HOLDS,
+    202: orders.Answer.ACCEPTED,
+    400: orders.Answer.IMPOSSIBLE,
+    409: orders.Answer.CONFLICT,
+    412: orders.Answer.FENCED,
+    421: orders.Answer.OTHER_TARGET,
+}
+
+
+def give_order(
+    connection: httpclient.Connection,
+    order: orders.Order,
+    holder: str,
+    timeout: datetime.timedelta,
+) -> orders.Answer:
+    """Sends an order and returns what became of it.
+
+    Args:
+        connection: A connection to the target.
+        order: The order.
+        holder: Name of the machine that gives it.
+        timeout: Longest wait for the answer.
+    """
+    body: dict[str, Any] = {
+        "operation": order.operation.value,
+        "model": order.model,
+        # The count of orders that the target must have taken before.
+        "expect": order.after,
+        "holder": holder,
+        "fencing_token": order.token,
+    }
+    if order.adapter is not None:
+        body["adapter"] = order.adapter
+    try:
+        answer = connection.call(
+            "POST", "/order", timeout, body, _addressed_to(order.target)
+        )
+    except exceptions.NotSentError:
+        return orders.Answer.NOT_SENT
+    except exceptions.PlatformError:
+        return orders.Answer.NO_ANSWER
+    return _ANSWERS.get(answer.status, orders.Answer.NO_ANSWER)
+
+
+def ask_status(
+    connection: httpclient.Connection,
+    target: ids.TargetId,
+    timeout: datetime.timedelta,
+) -> orders.Status:
+    """Asks a target for its report.
+
+    Raises:
+        exceptions.PlatformError: There is no answer.
+        exceptions.DecodeError: The answer is no report.
+    """
+    answer = connection.call(
+        "GET", "/report", timeout, None, _addressed_to(target)
+    )
+    if answer.status != 200:
+        raise exceptions.PlatformError(f"report: status {answer.status}")
+    return decode_status(answer.data)
+
+
+def decode_status(data: bytes) -> orders.Status:
+    """Returns the report in an answer.
+
+    Raises:
+        exceptions.DecodeError: It is none.
+    """
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise exceptions.DecodeError(f"report: {error}") from error
+    row = fields.mapping(value, "report")
+    coming = []
+    for item in fields.rows(row, "coming"):
+        # MODEL/NAME@VERSION
+        model, _, rest = str(item).partition("/")
+        adapter = rest.partition("@")[0]
+        coming.append((ids.ModelName(model), ids.AdapterName(adapter)))
+    return orders.Status(
+        fields.integer(row, "seq"),
+        fields.flag(row, "busy"),
+        register.decode_models(row),
+        tuple(coming),
+        register.decode_copies(row),
+        fields.integer(row, "running", 0),
+        fields.integer(row, "queued", 0),
+    )
+
+
+def _addressed_to(target: ids.TargetId) -> dict[str, str]:
+    return {"Expect-Instance": target, "Accept-Encoding": "identity"}
--- /dev/null
+++ b/src/quetzalgauge/platform/register.py
@@ -0,0 +1,105 @@
+"""The register: what targets write of themselves into the store."""
+
+import datetime
+import json
+from typing import Any
+
+from quetzalgauge import exceptions
+from quetzalgauge import fields
+from quetzalgauge import ids
+from quetzalgauge.core import targets
+
+TOPIC = "keyed.servers"
+
+_STATES = {"ready": False, "draining": True}
+
+
+def decode(key: str, data: bytes) -> targets.Description:
+    """Returns the description in a record's value.
+
+    Args:
+        key: The record's key, which is the target's id.
+        data: The record's value.
+
+    Raises:
+        exceptions.DecodeError: The record is torn, or another's.
+    """
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise exceptions.DecodeError(f"entry {key!r}: {error}") from error
+    row = fields.mapping(value, f"entry {key!r}")
+    state = fields.text(row, "state")
+    if state not in _STATES:
+        raise exceptions.DecodeError(f"entry {key!r}: state {state!r}")
+    remaining = row.get("remaining_ms")
+    if remaining is not None and type(remaining) is not int:
+        raise exceptions.DecodeError("remaining_ms is no integer")
+    slots = fields.integer(row, "slots")
+    if slots < 1 or not key:
+        raise exceptions.DecodeError(f"entry {key!r}: no slots or no id")
+    # The time of its last heartbeat; only its shape matters here.
+    fields.integer(row, "seq")
+    return targets.Description(
+        ids.TargetId(key),
+        fields.integer(row, "born"),
+        ids.ServiceName(fields.text(row, "service")),
+        check_address(fields.text(row, "address")),
+        ids.AvailabilityZone(fields.text(row, "zone")),
+        slots,
+        _STATES[state],
+        (
+            None
+            if remaining is None
+            else datetime.timedelta(milliseconds=remaining)
+        ),
+        decode_models(row),
+        decode_copies(row),
+    )
+
+
+def check_address(text: str) -> str:
+    """Returns IP-NUMBER:PORT if it is one.
+
+    Raises:
+        exceptions.DecodeError: It is not.
+    """
+    host, _, port = text.rpartition(":")
+    parts = host.split(".")
+    is_number = len(parts) == 4 and all(
+        part.isdigit() and int(part) < 256 for part in parts
+    )
+    if not is_number or not port.isdigit() or not 0 < int(port) < 65536:
+        raise exceptions.DecodeError(f"no address: {text[:60]!r}")
+    return text
+
+
+def decode_models(row: dict[str, Any]) -> tuple[targets.LoadedModel, ...]:
+    """Returns the loaded models of an entry or a report."""
+    found = []
+    for item in fields.rows(row, "models"):
+        one = fields.mapping(item, "model")
+        adapters = _names(one, "adapters")
+        found.append(
+            targets.LoadedModel(
+                ids.ModelName(fields.text(one, "name")),
+                tuple(ids.AdapterName(name) for name in adapters),
+            )
+        )
+    return tuple(found)
+
+
+def decode_copies(row: dict[str, Any]) -> targets.Copies:
+    """Returns the copies of weights of an entry or a report."""
+    at_hand = fields.mapping(row.get("at_hand", {}), "at_hand")
+    return targets.Copies(
+        tuple(ids.ModelName(name) for name in _names(at_hand, "in_memory")),
+        tuple(ids.ModelName(name) for name in _names(at_hand, "on_disk")),
+    )
+
+
+def _names(row: dict[str, Any], key: str) -> list[str]:
+    names = fields.rows(row, key)
+    if not all(isinstance(name, str) for name in names):
+        raise exceptions.DecodeError(f"{key} has an item that is no text")
+    return names
--- /dev/null
+++ b/src/quetzalgauge/platform/store.py
@@ -0,0 +1,265 @@
+"""Client of the platform's store: a log with keyed topics and groups."""
+
+import base64
+import binascii
+from collections.abc import Iterator
+import dataclasses
+import datetime
+import json
+import struct
+from typing import Any
+import urllib.parse
+
+from quetzalgauge import exceptions
+from quetzalgauge import fields
+from quetzalgauge import httpclient
+
+# Longest wait for an answer that the store does not hold back on purpose.
+CALL_TIMEOUT = datetime.timedelta(seconds=2)
+# How much longer than asked for the store may hold back a read.
+READ_MARGIN = datetime.timedelta(seconds=2)
+# Everything is in the only partition that is used of each topic.
+PARTITION = 0
+
+_LENGTH = struct.Struct(">I")
+_READ_HEAD = struct.Struct(">QQ")
+_IDENTITY = {"Accept-Encoding": "identity"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """A record of a keyed topic; `value` is None where the key is dropped."""
+
+    key: str
+    value: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seating:
+    """What the store says to a member of a group.
+
+    Attributes:
+        generation: Grows with each change of the group.
+        partitions: The partitions that the member holds, by topic.
+    """
+
+    generation: int
+    partitions: frozenset[tuple[str, int]]
+
+
+class Store:
+    """One connection to the store. One task owns it."""
+
+    def __init__(self, address: str) -> None:
+        self._connection = httpclient.Connection(f"http://{address}")
+
+    def close(self) -> None:
+        """Closes the connection; the next call opens a new one."""
+        self._connection.close()
+
+    def read_newest(self, topic: str) -> tuple[list[Item], int]:
+        """Returns the newest record of each key, and where to read on.
+
+        Raises:
+            exceptions.PlatformError: There is no answer.
+            exceptions.DecodeError: The answer is not valid.
+        """
+        items: list[Item] = []
+        position: int | None = None
+        after = ""
+        while True:
+            query = {"topic": topic, "part": PARTITION}
+            if after:
+                query["after"] = after
+            page = self._get_json("/log-newest", query)
+            # Pages are no snapshot; reading on from the first one repeats
+            # what has changed since.
+            if position is None:
+                position = fields.integer(page, "end")
+            rows = fields.rows(page, "items")
+            items += [_decode_item(row) for row in rows]
+            if not fields.flag(page, "more", False) or not rows:
+                return items, position
+            after = items[-1].key
+
+    def read(
+        self, topic: str, position: int, wait: datetime.timedelta
+    ) -> tuple[list[Item], int]:
+        """Returns the records of a keyed topic from a position on.
+
+        Args:
+            topic: The topic.
+            position: Offset of the first wanted record.
+            wait: How long the store waits for a record.
+
+        Returns:
+            The records and the position behind them.
+
+        Raises:
+            exceptions.LogExpiredError: The record is not kept any more.
+            exceptions.PlatformError: There is no answer.
+            exceptions.DecodeError: The answer is not valid.
+        """
+        wait_ms = int(wait.total_seconds() * 1000)
+        query = urllib.parse.urlencode(
+            {
+                "topic": topic,
+                "part": PARTITION,
+                "from": position,
+                "wait_ms": wait_ms,
+            }
+        )
+        answer = self._connection.call(
+            "GET", f"/log-read?{query}", wait + READ_MARGIN, None, _IDENTITY
+        )
+        if answer.status == 410:
+            row = _json(answer.data)
+            raise exceptions.LogExpiredError(fields.integer(row, "first", 0))
+        _require(answer, 200)
+        records = list(_split(answer.data))
+        return [_decode_keyed(one) for one in records], position + len(records)
+
+    def write(self, topic: str, key: str, value: bytes) -> None:
+        """Writes a record of a keyed topic.
+
+        Raises:
+            exceptions.NotSentError: Nothing was written.
+            exceptions.PlatformError: It may have been written.
+        """
+        name = key.encode()
+        record = bytes([len(name)]) + name + value
+        query = urllib.parse.urlencode({"topic": topic, "part": PARTITION})
+        answer = self._connection.call(
+            "POST",
+            f"/log-append?{query}",
+            CALL_TIMEOUT,
+            _LENGTH.pack(len(record)) + record,
+            _IDENTITY,
+        )
+        _require(answer, 200)
+
+    def join(
+        self,
+        group: str,
+        member: str,
+        topic: str,
+        silence: datetime.timedelta,
+        generation: int,
+    ) -> Seating:
+        """Joins a group or keeps the member in it.
+
+        Args:
+            group: The group.
+            member: The member.
+            topic: The topic whose partitions the group shares out.
+            silence: Silence after which the member loses its partitions.
+            generation: The last one that the member was told, or 0.
+
+        Raises:
+            exceptions.PlatformError: There is no answer.
+            exceptions.DecodeError: The answer is not valid.
+        """
+        body = {
+            "group": group,
+            "member": member,
+            "topics": [topic],
+            "ttl_ms": int(silence.total_seconds() * 1000),
+            "generation": generation,
+        }
+        row = self._post_json("/log-join", body)
+        partitions = []
+        for item in fields.rows(row, "parts"):
+            if not isinstance(item, list) or len(item) < 2:
+                raise exceptions.DecodeError("parts has no rows")
+            partitions.append((str(item[0]), int(item[1])))
+        return Seating(fields.integer(row, "generation"), frozenset(partitions))
+
+    def leave(self, group: str, member: str) -> None:
+        """Leaves a group.
+
+        Raises:
+            exceptions.PlatformError: There is no answer.
+        """
+        body = {"group": group, "member": member}
+        answer = self._connection.call(
+            "POST", "/log-leave", CALL_TIMEOUT, body, _IDENTITY
+        )
+        _require(answer, 200)
+
+    def read_owner(self, group: str, topic: str) -> str | None:
+        """Returns the member that holds the partition, None: nobody.
+
+        Raises:
+            exceptions.PlatformError: There is no answer.
+            exceptions.DecodeError: The answer is not valid.
+        """
+        row = self._get_json("/log-owners", {"group": group})
+        for item in fields.rows(row, "parts"):
+            if not isinstance(item, list) or len(item) < 3:
+                raise exceptions.DecodeError("parts has no rows")
+            if item[0] == topic and item[1] == PARTITION and item[2]:
+                return str(item[2])
+        return None
+
+    def _get_json(self, path: str, query: dict[str, Any]) -> dict[str, Any]:
+        answer = self._connection.call(
+            "GET",
+            f"{path}?{urllib.parse.urlencode(query)}",
+            CALL_TIMEOUT,
+            None,
+            _IDENTITY,
+        )
+        _require(answer, 200)
+        return _json(answer.data)
+
+    def _post_json(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        answer = self._connection.call(
+            "POST", path, CALL_TIMEOUT, body, _IDENTITY
+        )
+        _require(answer, 200)
+        return _json(answer.data)
+
+
+def _require(answer: httpclient.Answer, status: int) -> None:
+    if answer.status != status:
+        raise exceptions.PlatformError(f"the store answered {answer.status}")
+
+
+def _json(data: bytes) -> dict[str, Any]:
+    try:
+        return fields.mapping(json.loads(data), "answer of the store")
+    except (ValueError, RecursionError) as error:
+        raise exceptions.DecodeError(f"answer of the store: {error}") from error
+
+
+def _decode_item(row: Any) -> Item:
+    row = fields.mapping(row, "item")
+    try:
+        value = base64.b64decode(fields.text(row, "value"), validate=True)
+    except (ValueError, binascii.Error) as error:
+        raise exceptions.DecodeError(f"item: {error}") from error
+    return Item(fields.text(row, "key"), value)
+
+
+def _split(data: bytes) -> Iterator[bytes]:
+    """Returns the records in the answer to a read."""
+    if len(data) < _READ_HEAD.size:
+        raise exceptions.DecodeError("the answer to a read is too short")
+    place = _READ_HEAD.size
+    while place < len(data):
+        if place + _LENGTH.size > len(data):
+            raise exceptions.DecodeError("a record is cut")
+        (length,) = _LENGTH.unpack_from(data, place)
+        place += _LENGTH.size
+        if place + length > len(data):
+            raise exceptions.DecodeError("a record is cut")
+        yield data[place : place + length]
+        place += length
+
+
+def _decode_keyed(record: bytes) -> Item:
+    """Splits a record of a keyed topic into key and value."""
+    length = record[0] if record else 0
+    key = record[1 : 1 + length].decode("utf-8", "replace")
+    value = record[1 + length :]
+    return Item(key, value or None)
--- a/src/quetzalgauge/streams.py
+++ b/src/quetzalgauge/streams.py
@@ -21,9 +21,14 @@
 
     An event that is cut in the middle is never passed on, so an error event
     can follow at any time.
+
+    Args:
+        has_end_marker: Whether the stream has an end marker; otherwise it
+            ends with its HTTP body.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, has_end_marker: bool = True) -> None:
+        self._has_end_marker = has_end_marker
         self._rest = b""
         self._with_id = b""
         self._skip_until: int | None = None
@@ -34,6 +39,11 @@
         """Whether the end marker was passed on."""
         return self._done
 
+    @property
+    def has_rest(self) -> bool:
+        """Whether the bytes so far end in the middle of an event."""
+        return bool(self._rest)
+
     @property
     def last_event(self) -> str:
         """The id of the last event passed on, empty if there is none."""
@@ -45,8 +55,11 @@
 
         Events up to that one are dropped if the target repeats them.
         """
+        self.resume_after(self.last_event)
+
+    def resume_after(self, last: str) -> None:
+        """Starts with an answer that goes on after the event `last`."""
         self._rest = b""
-        last = self.last_event
         self._skip_until = int(last) if last.isdecimal() else None
 
     def feed(self, data: bytes) -> bytes:
@@ -70,7 +83,7 @@
             self._rest = b""
         if self._skip_until is not None:
             data = self._skip(data)
-        if b"[DONE]" in data:
+        if self._has_end_marker and b"[DONE]" in data:
             marker = _END_MARKER.search(data)
             if marker is not None:
                 self._done = True
