Weigh loads by what they serve and take away for each second

Now a model's rate has a prior, the last replica of a busy model is dear, one target of the region stays free for adapters of a model, store loads are counted over the region, and an overdue order is expected to go on.

--- a/idl/exchange.thrift
+++ b/idl/exchange.thrift
@@ -28,6 +28,7 @@
   3: list<AdapterWish> adapter_wishes,
   4: list<Running> running,
   5: map<string, i32> arrivals,
+  6: map<string, i32> adapter_arrivals,
 }
 
 struct ReplicaView {
--- a/src/quetzalgauge/core/demand.py
+++ b/src/quetzalgauge/core/demand.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 import dataclasses
 import datetime
 import math
@@ -16,6 +17,10 @@
 RATE_TIME = datetime.timedelta(seconds=4)
 # Rate assumed of a model before any request: each may be asked for.
 PRIOR_RATE = 0.1
+# The prior rate weighs as much as requests over this time.
+PRIOR_SECONDS = 1.0
+# The same of a model that several targets held from the start.
+PRIOR_BUSY_RATE = 5.0
 # Reports of an instance that has been silent for this time do not count.
 REPORT_AGE = datetime.timedelta(seconds=3)
 
@@ -28,13 +33,51 @@
     at: datetime.timedelta
 
 
+class _Rates:
+    """Arrivals a second by model, over about `RATE_TIME`."""
+
+    def __init__(self) -> None:
+        self._counts: dict[ids.ModelName, float] = {}
+        self._counted_at: dict[ids.ModelName, datetime.timedelta] = {}
+        self._began: datetime.timedelta | None = None
+
+    def add(
+        self, model: ids.ModelName, count: int, now: datetime.timedelta
+    ) -> None:
+        if self._began is None:
+            self._began = now
+        self._counts[model] = self._decayed(model, now) + count
+        self._counted_at[model] = now
+
+    def rate(self, model: ids.ModelName, now: datetime.timedelta) -> float:
+        if self._began is None:
+            return 0.0
+        # Soon after the first request the counts cover less time, and a
+        # single request says little.
+        covered = 1.0 - math.exp(-max(0.0, (now - self._began) / RATE_TIME))
+        seconds = covered * RATE_TIME.total_seconds() + PRIOR_SECONDS
+        return self._decayed(model, now) / seconds
+
+    def is_settled(self, now: datetime.timedelta) -> bool:
+        """Whether there were requests for long enough to know the rates."""
+        return self._began is not None and now - self._began > RATE_TIME / 2
+
+    def _decayed(self, model: ids.ModelName, now: datetime.timedelta) -> float:
+        count = self._counts.get(model)
+        if count is None:
+            return 0.0
+        age = (now - self._counted_at[model]) / RATE_TIME
+        return count * math.exp(-max(0.0, age))
+
+
 class Demand:
     """The last report of each instance, and the rates of arrivals."""
 
     def __init__(self) -> None:
         self._heard: dict[ids.InstanceId, _Heard] = {}
-        self._counts: dict[ids.ModelName, float] = {}
-        self._counted_at: dict[ids.ModelName, datetime.timedelta] = {}
+        self._arrivals = _Rates()
+        self._adapter_arrivals = _Rates()
+        self._priors: dict[ids.ModelName, float] = {}
 
     @property
     def instances(self) -> int:
@@ -47,8 +90,9 @@
         """Takes the report of an instance."""
         self._heard[report.instance] = _Heard(report, now)
         for model, count in report.arrivals:
-            self._counts[model] = self._decayed(model, now) + count
-            self._counted_at[model] = now
+            self._arrivals.add(model, count, now)
+        for model, count in report.adapter_arrivals:
+            self._adapter_arrivals.add(model, count, now)
 
     def forget(self, instance: ids.InstanceId) -> None:
         """Drops an instance whose link broke."""
@@ -63,17 +107,27 @@
         ]:
             del self._heard[instance]
 
+    def use_prior(self, replicas: Mapping[ids.ModelName, int]) -> None:
+        """Takes the replicas of each model before any request.
+
+        Models on several targets were placed there because they are busy.
+        """
+        for model, count in replicas.items():
+            if count > 1:
+                self._priors[model] = PRIOR_BUSY_RATE
+
     def rate(self, model: ids.ModelName, now: datetime.timedelta) -> float:
         """Returns requests a second for a model, over all instances."""
-        measured = self._decayed(model, now) / RATE_TIME.total_seconds()
-        return PRIOR_RATE + measured
-
-    def _decayed(self, model: ids.ModelName, now: datetime.timedelta) -> float:
-        count = self._counts.get(model)
-        if count is None:
-            return 0.0
-        age = (now - self._counted_at[model]) / RATE_TIME
-        return count * math.exp(-max(0.0, age))
+        prior = PRIOR_RATE
+        if not self._arrivals.is_settled(now):
+            prior = self._priors.get(model, PRIOR_RATE)
+        return prior + self._arrivals.rate(model, now)
+
+    def adapter_rate(
+        self, model: ids.ModelName, now: datetime.timedelta
+    ) -> float:
+        """Returns requests a second for adapters of a model."""
+        return self._adapter_arrivals.rate(model, now)
 
     def wishes(
         self,
--- a/src/quetzalgauge/core/exchange.py
+++ b/src/quetzalgauge/core/exchange.py
@@ -61,6 +61,7 @@
         adapter_wishes: Adapters that it waits for.
         running: Requests in progress on the zone's targets.
         arrivals: Requests by model that arrived since the last report.
+        adapter_arrivals: Those of them that asked for an adapter.
     """
 
     instance: ids.InstanceId
@@ -68,6 +69,7 @@
     adapter_wishes: tuple[AdapterWish, ...] = ()
     running: tuple[Running, ...] = ()
     arrivals: tuple[tuple[ids.ModelName, int], ...] = ()
+    adapter_arrivals: tuple[tuple[ids.ModelName, int], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -222,6 +222,14 @@
             return any(loaded.name == model for loaded in one.models)
         return model in view.ready_at and model not in view.closing
 
+    def count_loaded(self) -> dict[ids.ModelName, int]:
+        """Returns the number of targets with each model, by the register."""
+        counts: dict[ids.ModelName, int] = {}
+        for one in self.directory:
+            for loaded in one.models:
+                counts[loaded.name] = counts.get(loaded.name, 0) + 1
+        return counts
+
     def busy_until(
         self, one: targets.Description, now: datetime.timedelta
     ) -> datetime.timedelta:
@@ -390,6 +398,14 @@
     return model.store_load
 
 
+def hash_pair(left: str, right: str) -> int:
+    """Returns a number that is the same in every process."""
+    value = 2166136261
+    for byte in f"{left}\0{right}".encode():
+        value = (value ^ byte) * 16777619 & 0xFFFFFFFF
+    return value
+
+
 def _add(table: dict, key: object, change: int) -> None:
     left = table.get(key, 0) + change
     if left > 0:
--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -252,6 +252,8 @@
             patience.start_limit(route, now, due),
             config.version,
         )
+        # A caller may go on with a stream that broke.
+        call.last_event = head.last_event
         self._calls[event.token] = call
         if len(self._calls) > self._limits.in_progress:
             return self._refuse(call, "too_many", UNKNOWN_RETRY, now)
@@ -259,7 +261,7 @@
             spec = self._model(call)
             if spec is None:
                 return self._refuse(call, "unknown_model", None, now)
-            self._wishes.count_arrival(head.model)
+            self._wishes.count_arrival(head.model, head.adapter)
         self._budget(service).record_request()
         return self._place(call, now)
 
@@ -376,7 +378,7 @@
                 chosen,
                 key=lambda one: (
                     fleet.busy_until(one, now) > now + BUSY_GRACE,
-                    hash_pair(adapter, one.target),
+                    fleet_module.hash_pair(adapter, one.target),
                 ),
                 default=None,
             )
@@ -948,13 +950,5 @@
 }
 
 
-def hash_pair(left: str, right: str) -> int:
-    """Returns a number that is the same in every process."""
-    value = 2166136261
-    for byte in f"{left}\0{right}".encode():
-        value = (value ^ byte) * 16777619 & 0xFFFFFFFF
-    return value
-
-
 def _milliseconds(duration: datetime.timedelta) -> float:
     return round(duration.total_seconds() * 1000, 1)
--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -24,6 +24,11 @@
 # Loads from the weight store at full speed (the sites' sheets: 2 to 4 at once
 # over all targets).
 STORE_LOADS_AT_ONCE = 4
+# A target that is busy for longer loads from the weight store.
+LONG_LOAD = datetime.timedelta(seconds=1.5)
+# Room that is made for a load is kept for it for this time; an unload waits
+# for requests that run.
+INTENT_TIME = datetime.timedelta(seconds=2)
 # Window and margin of the limit on loads from the weight store.
 STORE_WINDOW = datetime.timedelta(seconds=5)
 STORE_MARGIN = 0.9
@@ -35,6 +40,14 @@
 _ZERO = datetime.timedelta()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Intent:
+    """A load for which room is being made."""
+
+    choice: placement.Choice
+    until: datetime.timedelta
+
+
 @dataclasses.dataclass(slots=True)
 class _Published:
     signature: tuple[Any, ...]
@@ -56,7 +69,7 @@
         self._fleet = fleet
         self._demand = demand.Demand()
         self._stocks: dict[ids.TargetId, stock.Stock] = {}
-        self._intents: dict[ids.TargetId, placement.Choice] = {}
+        self._intents: dict[ids.TargetId, _Intent] = {}
         self._config: configuration.Configuration | None = None
         self._store_loads: list[datetime.timedelta] = []
         self._published: dict[ids.TargetId, _Published] = {}
@@ -126,6 +139,8 @@
         """Follows the targets of the zone."""
         if self._config is None:
             return
+        if self._fleet.directory.is_complete and not self._stocks:
+            self._demand.use_prior(self._fleet.count_loaded())
         present = {}
         for one in self._fleet.directory:
             service = self._config.services.get(one.service)
@@ -238,29 +253,25 @@
     def _continue_intent(
         self, scene: placement.Scene, now: datetime.timedelta
     ) -> placement.Choice | None:
-        """Returns a load whose room is being made, if it can go on."""
-        for target, choice in list(self._intents.items()):
+        """Returns a load for which room has been made."""
+        for target, intent in list(self._intents.items()):
             one = self._stocks.get(target)
-            if one is None or choice.model in one.replicas:
+            choice = intent.choice
+            is_over = now > intent.until or one is None
+            if is_over or (one is not None and choice.model in one.replicas):
                 del self._intents[target]
                 continue
-            if not one.can_order(now):
-                continue
-            del self._intents[target]
-            wanted = choice.why != "waiting" or choice.model in scene.wishes
+            assert one is not None
             spec = one.engine.models.get(choice.model)
+            wanted = choice.why != "waiting" or choice.model in scene.wishes
             if not wanted or spec is None:
+                del self._intents[target]
                 continue
-            left = tuple(
-                name
-                for name in choice.victims
-                if name in one.replicas
-                and one.replicas[name].state is not stock.State.UNLOADING
-            )
-            if spec.size_mb <= one.free_mb(now):
-                return dataclasses.replace(choice, stock=one, victims=())
-            if left and not any(name in scene.wishes for name in left):
-                return dataclasses.replace(choice, stock=one, victims=left)
+            if one.can_order(now) and spec.size_mb <= one.free_mb(now):
+                ready_at = now + one.load_time(choice.model)
+                return dataclasses.replace(
+                    choice, stock=one, victims=(), ready_at=ready_at
+                )
         return None
 
     def _carry_out(
@@ -268,7 +279,7 @@
     ) -> orders.Order:
         one = choice.stock
         if choice.victims:
-            self._intents[one.target] = choice
+            self._intents[one.target] = _Intent(choice, now + INTENT_TIME)
             order = one.make_order(
                 orders.Operation.UNLOAD, choice.victims[0], None, token, now
             )
@@ -294,9 +305,35 @@
             self._demand.running(),
             lambda model: self._count_elsewhere(model, now),
             self._count_copies,
+            lambda model: self._demand.adapter_rate(model, now),
+            lambda target, model: self._is_guard(target, model, now),
             self._store_allowance(now),
         )
 
+    def _is_guard(
+        self,
+        target: ids.TargetId,
+        model: ids.ModelName,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Whether a target stays free to fetch adapters of a model.
+
+        All holders choose the same one of the targets that have the model.
+        """
+        holding = [
+            one.target
+            for one in self._fleet.directory
+            if not one.leaving
+            and not self._fleet.health.is_paused(one.target, now)
+            and self._fleet.holds(one, model, now)
+        ]
+        chosen = min(
+            holding,
+            key=lambda one: fleet_module.hash_pair(model, one),
+            default=None,
+        )
+        return chosen == target
+
     def _count_elsewhere(
         self, model: ids.ModelName, now: datetime.timedelta
     ) -> int:
@@ -329,13 +366,18 @@
         ]
         # Further loads at the same time only slow each other down.
         loading = sum(
-            replica.state is stock.State.LOADING
-            and replica.ready_at - now > datetime.timedelta(seconds=1)
-            for one in self._stocks.values()
-            for replica in one.replicas.values()
+            self._fleet.busy_until(one, now) - now > LONG_LOAD
+            for one in self._engine_targets()
+        )
+        own = sum(
+            one.free_at - now > LONG_LOAD for one in self._stocks.values()
+        )
+        share = -(-STORE_LOADS_AT_ONCE // max(1, zones))
+        return min(
+            allowed - len(self._store_loads),
+            STORE_LOADS_AT_ONCE - loading,
+            share - own,
         )
-        at_once = max(1, round(STORE_LOADS_AT_ONCE / max(1, zones) + 0.3))
-        return min(allowed - len(self._store_loads), at_once - loading)
 
     def _engine_targets(self) -> Iterable[targets.Description]:
         for one in self._fleet.directory:
@@ -380,7 +422,7 @@
             ),
             tuple((key, held.ready_at) for key, held in one.adapters.items()),
             one.free_at,
-            intent.model if intent else None,
+            intent.choice.model if intent else None,
         )
 
     def board(
@@ -394,7 +436,7 @@
         after = -1 if since is None else since
         wishes = self._demand.wishes()
         here = {name for one in self._stocks.values() for name in one.replicas}
-        planned = {choice.model for choice in self._intents.values()}
+        planned = {one.choice.model for one in self._intents.values()}
         return exchange.Board(
             self._zone,
             self._instance,
@@ -427,11 +469,11 @@
             for name, replica in one.replicas.items()
         ]
         intent = self._intents.get(one.target)
-        if intent is not None and intent.model not in one.replicas:
+        if intent is not None and intent.choice.model not in one.replicas:
             replicas.append(
                 exchange.ReplicaView(
-                    intent.model,
-                    max(intent.ready_at - now, stock.BUSY_PAUSE),
+                    intent.choice.model,
+                    max(intent.choice.ready_at - now, stock.BUSY_PAUSE),
                 )
             )
         return exchange.TargetView(
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -14,6 +14,7 @@
 import dataclasses
 import datetime
 import itertools
+import math
 
 from quetzalgauge import ids
 from quetzalgauge.core import demand
@@ -32,9 +33,13 @@
 # Worth of the first replica of a busy model in a zone.
 REPLICA_WORTH = 1.5
 # Worth of keeping the last replica of a busy model in a zone.
-LAST_REPLICA_WORTH = 4.0
+LAST_REPLICA_WORTH = 3.0
 # Share of the expected requests that a further replica is worth.
 SPARE_SHARE = 0.1
+# A load in advance must be worth this many times what it takes away.
+SPARE_GAIN = 2.0
+# Share of the requests for adapters whose adapter is not on the target.
+ADAPTER_MISSES = 0.5
 # A model that was loaded a moment ago stays until its requests have come.
 SHORTEST_STAY = datetime.timedelta(milliseconds=300)
 # Usual rest of a request that is running when its model is to be unloaded.
@@ -59,6 +64,9 @@
         elsewhere: Number of replicas of a model outside the zone.
         copies_elsewhere: Number of other targets of the region that have a
             copy of a model, besides the given one.
+        adapter_rate: Requests a second for adapters of a model.
+        guards: Whether a target is the one of the region that stays free to
+            fetch adapters of a model.
         store_loads: Loads from the weight store that may begin now.
     """
 
@@ -68,6 +76,8 @@
     running: demand.RunningCounts
     elsewhere: Callable[[ids.ModelName], int]
     copies_elsewhere: Callable[[ids.ModelName, ids.TargetId], int]
+    adapter_rate: Callable[[ids.ModelName], float]
+    guards: Callable[[ids.TargetId, ids.ModelName], bool]
     store_loads: int
 
 
@@ -162,19 +172,56 @@
     if ready_at > soonest + WAIT_GAIN:
         return None
     gain, why = _gain(scene, one, model, ready_at, from_store)
-    if gain <= room.loss:
-        return None
     seconds = (ready_at - now).total_seconds()
+    loss = room.loss + _adapter_loss(scene, one, room.victims, seconds)
+    if from_store:
+        loss += _copy_loss(scene, one, spec.size_mb)
+    if gain <= loss or (why == "spare" and loss and gain < SPARE_GAIN * loss):
+        return None
     return Choice(
         one,
         model,
         room.victims,
         ready_at,
-        (gain - room.loss) / max(0.05, seconds),
+        (gain - loss) / max(0.05, seconds),
         why,
     )
 
 
+def _adapter_loss(
+    scene: Scene,
+    one: stock.Stock,
+    victims: Iterable[ids.ModelName],
+    seconds: float,
+) -> float:
+    """Returns what is late because a busy target fetches no adapters."""
+    rate = sum(
+        scene.adapter_rate(name)
+        for name in one.replicas
+        if name not in victims and scene.guards(one.target, name)
+    )
+    return rate * seconds * ADAPTER_MISSES * (1.0 - LATE_WORTH)
+
+
+def _copy_loss(scene: Scene, one: stock.Stock, size_mb: float) -> float:
+    """Returns the worth of last copies that a copy would push out."""
+    engine = one.engine
+    sizes = {
+        name: engine.models[name].size_mb
+        for name in one.copies.on_disk
+        if name in engine.models
+    }
+    missing = size_mb - (engine.disk_copies_mb - sum(sizes.values()))
+    loss = 0.0
+    for name in one.copies.on_disk:
+        if missing <= 0:
+            break
+        missing -= sizes.get(name, 0.0)
+        if not scene.copies_elsewhere(name, one.target):
+            loss += scene.rate(name) * COPY_HORIZON_S
+    return loss
+
+
 def _gain(
     scene: Scene,
     one: stock.Stock,
@@ -190,12 +237,13 @@
     why = "waiting" if waiting else "spare"
     rate = scene.rate(model)
     elsewhere = scene.elsewhere(model)
-    if rate >= BUSY_RATE:
-        if not waiting:
-            why = "busy"
-        gain += REPLICA_WORTH
-    elif not elsewhere:
+    is_busy = rate >= BUSY_RATE
+    if is_busy and not waiting:
+        why = "busy"
+    if not elsewhere:
         gain += rate * HORIZON_S
+    elif is_busy:
+        gain += REPLICA_WORTH
     elif not waiting:
         return 0.0, why
     if from_store and not scene.copies_elsewhere(model, one.target):
@@ -242,8 +290,10 @@
     wait = _ZERO
     for name in names:
         loss += _loss(scene, one, name)
-        if scene.running.of_model(one.target, name):
-            wait = RUN_REST
+        runs = scene.running.of_model(one.target, name)
+        if runs:
+            # The longest of several runs decides.
+            wait = max(wait, RUN_REST * (1.0 + math.log(runs)))
     return _Room(tuple(names), loss, wait)
 
 
@@ -252,13 +302,11 @@
     rate = scene.rate(name)
     expected = rate * HORIZON_S
     here = sum(name in other.replicas for other in scene.stocks) - 1
-    if here > 0:
-        return expected * SPARE_SHARE
-    if rate >= BUSY_RATE:
+    if not here and not scene.elsewhere(name):
+        return expected
+    if not here and rate >= BUSY_RATE:
         return max(LAST_REPLICA_WORTH, expected * SPARE_SHARE)
-    if scene.elsewhere(name):
-        return expected * SPARE_SHARE
-    return expected
+    return expected * SPARE_SHARE
 
 
 def _size(one: stock.Stock, names: Iterable[ids.ModelName]) -> float:
--- a/src/quetzalgauge/core/seat.py
+++ b/src/quetzalgauge/core/seat.py
@@ -234,6 +234,8 @@
     @property
     def due(self) -> datetime.timedelta:
         """When `act` is wanted next."""
+        if self._busy or self._state is _State.LEFT:
+            return datetime.timedelta.max
         return self._next_at
 
     def may_order_until(self, now: datetime.timedelta) -> datetime.timedelta:
--- a/src/quetzalgauge/core/stock.py
+++ b/src/quetzalgauge/core/stock.py
@@ -25,6 +25,8 @@
 BUSY_PAUSE = datetime.timedelta(milliseconds=12)
 # Pause before a target without an answer is asked again.
 SILENT_PAUSE = datetime.timedelta(milliseconds=150)
+# An order that is overdue is expected to take this share longer.
+OVERDUE_SHARE = 0.15
 # Conflicts in a row after which the target is asked what it holds.
 MAX_CONFLICTS = 3
 
@@ -401,14 +403,16 @@
         self.copies = status.copies
         if status.busy:
             # The order takes longer than expected.
-            self.free_at = max(self.free_at, now + BUSY_PAUSE)
+            elapsed = now - self._taken_at
+            more = max(2 * BUSY_PAUSE, elapsed * OVERDUE_SHARE)
             for replica in self.replicas.values():
                 if replica.state is not State.UNLOADING and (
                     not replica.confirmed
                 ):
                     replica.state = State.LOADING
-                    replica.ready_at = now + 2 * BUSY_PAUSE
-            self._ask_at = now + 2 * BUSY_PAUSE
+                    replica.ready_at = now + more
+            self.free_at = max(self.free_at, now + more)
+            self._ask_at = now + more
             return
         self._use_models(status, now)
 
--- a/src/quetzalgauge/core/wishes.py
+++ b/src/quetzalgauge/core/wishes.py
@@ -28,6 +28,29 @@
     asked_at: datetime.timedelta = datetime.timedelta()
 
 
+class _Counter:
+    """Counts by model, told to each zone as differences."""
+
+    def __init__(self) -> None:
+        self._counts: dict[ids.ModelName, int] = {}
+        self._told: dict[ids.AvailabilityZone, dict[ids.ModelName, int]] = {}
+
+    def count(self, model: ids.ModelName) -> None:
+        self._counts[model] = self._counts.get(model, 0) + 1
+
+    def take(
+        self, zone: ids.AvailabilityZone
+    ) -> tuple[tuple[ids.ModelName, int], ...]:
+        told = self._told.setdefault(zone, {})
+        news = tuple(
+            (model, count - told.get(model, 0))
+            for model, count in self._counts.items()
+            if count > told.get(model, 0)
+        )
+        told.update(self._counts)
+        return news
+
+
 class Wishes:
     """The wishes of one instance."""
 
@@ -35,8 +58,8 @@
         self._fleet = fleet
         self._models: dict[ids.ModelName, _Wish] = {}
         self._adapters: dict[int, exchange.AdapterWish] = {}
-        self._arrivals: dict[ids.ModelName, int] = {}
-        self._told: dict[ids.AvailabilityZone, dict[ids.ModelName, int]] = {}
+        self._arrivals = _Counter()
+        self._adapter_arrivals = _Counter()
         self._urgent = False
         self._changed = False
 
@@ -50,9 +73,13 @@
         """Whether a report would tell something new."""
         return self._changed or self._urgent
 
-    def count_arrival(self, model: ids.ModelName) -> None:
-        """Counts a request for a model."""
-        self._arrivals[model] = self._arrivals.get(model, 0) + 1
+    def count_arrival(
+        self, model: ids.ModelName, adapter: ids.AdapterName | None
+    ) -> None:
+        """Counts a request for a model or an adapter of it."""
+        self._arrivals.count(model)
+        if adapter is not None:
+            self._adapter_arrivals.count(model)
         self._changed = True
 
     def note_running(self) -> None:
@@ -152,13 +179,6 @@
         now: datetime.timedelta,
     ) -> exchange.Report:
         """Returns the report to the holder of a zone."""
-        told = self._told.setdefault(zone, {})
-        arrivals = tuple(
-            (model, count - told.get(model, 0))
-            for model, count in self._arrivals.items()
-            if count > told.get(model, 0)
-        )
-        told.update(self._arrivals)
         adapters = {
             wish: None
             for wish in self._adapters.values()
@@ -180,7 +200,8 @@
             ),
             tuple(adapters),
             self._fleet.running_in(zone),
-            arrivals,
+            self._arrivals.take(zone),
+            self._adapter_arrivals.take(zone),
         )
 
     def note_told(self) -> None:
--- a/src/quetzalgauge/gen/exchange/ttypes.py
+++ b/src/quetzalgauge/gen/exchange/ttypes.py
@@ -320,6 +320,7 @@
      - adapter_wishes
      - running
      - arrivals
+     - adapter_arrivals
 
     """
 
@@ -329,15 +330,17 @@
         'adapter_wishes',
         'running',
         'arrivals',
+        'adapter_arrivals',
     )
 
 
-    def __init__(self, instance=None, wishes=None, adapter_wishes=None, running=None, arrivals=None,):
+    def __init__(self, instance=None, wishes=None, adapter_wishes=None, running=None, arrivals=None, adapter_arrivals=None,):
         self.instance = instance
         self.wishes = wishes
         self.adapter_wishes = adapter_wishes
         self.running = running
         self.arrivals = arrivals
+        self.adapter_arrivals = adapter_arrivals
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -397,6 +400,17 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.MAP:
+                    self.adapter_arrivals = {}
+                    (_ktype33, _vtype34, _size32) = iprot.readMapBegin()
+                    for _i36 in range(_size32):
+                        _key37 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val38 = iprot.readI32()
+                        self.adapter_arrivals[_key37] = _val38
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -414,30 +428,38 @@
         if self.wishes is not None:
             oprot.writeFieldBegin('wishes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.wishes))
-            for iter32 in self.wishes:
-                iter32.write(oprot)
+            for iter39 in self.wishes:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.adapter_wishes is not None:
             oprot.writeFieldBegin('adapter_wishes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.adapter_wishes))
-            for iter33 in self.adapter_wishes:
-                iter33.write(oprot)
+            for iter40 in self.adapter_wishes:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.running))
-            for iter34 in self.running:
-                iter34.write(oprot)
+            for iter41 in self.running:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.arrivals is not None:
             oprot.writeFieldBegin('arrivals', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.arrivals))
-            for kiter35, viter36 in self.arrivals.items():
-                oprot.writeString(kiter35.encode('utf-8') if sys.version_info[0] == 2 else kiter35)
-                oprot.writeI32(viter36)
+            for kiter42, viter43 in self.arrivals.items():
+                oprot.writeString(kiter42.encode('utf-8') if sys.version_info[0] == 2 else kiter42)
+                oprot.writeI32(viter43)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.adapter_arrivals is not None:
+            oprot.writeFieldBegin('adapter_arrivals', TType.MAP, 6)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.adapter_arrivals))
+            for kiter44, viter45 in self.adapter_arrivals.items():
+                oprot.writeString(kiter44.encode('utf-8') if sys.version_info[0] == 2 else kiter44)
+                oprot.writeI32(viter45)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -701,22 +723,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.replicas = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = ReplicaView()
-                        _elem42.read(iprot)
-                        self.replicas.append(_elem42)
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = ReplicaView()
+                        _elem51.read(iprot)
+                        self.replicas.append(_elem51)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.adapters = []
-                    (_etype46, _size43) = iprot.readListBegin()
-                    for _i47 in range(_size43):
-                        _elem48 = AdapterView()
-                        _elem48.read(iprot)
-                        self.adapters.append(_elem48)
+                    (_etype55, _size52) = iprot.readListBegin()
+                    for _i56 in range(_size52):
+                        _elem57 = AdapterView()
+                        _elem57.read(iprot)
+                        self.adapters.append(_elem57)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -751,15 +773,15 @@
         if self.replicas is not None:
             oprot.writeFieldBegin('replicas', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.replicas))
-            for iter49 in self.replicas:
-                iter49.write(oprot)
+            for iter58 in self.replicas:
+                iter58.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.adapters is not None:
             oprot.writeFieldBegin('adapters', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.adapters))
-            for iter50 in self.adapters:
-                iter50.write(oprot)
+            for iter59 in self.adapters:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.busy_for is not None:
@@ -881,21 +903,21 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = TargetView()
-                        _elem56.read(iprot)
-                        self.targets.append(_elem56)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = TargetView()
+                        _elem65.read(iprot)
+                        self.targets.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem62)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -940,15 +962,15 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter63 in self.targets:
-                iter63.write(oprot)
+            for iter72 in self.targets:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter64 in self.gone:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter73 in self.gone:
+                oprot.writeString(iter73.encode('utf-8') if sys.version_info[0] == 2 else iter73)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1086,6 +1108,7 @@
     (3, TType.LIST, 'adapter_wishes', (TType.STRUCT, [AdapterWish, None], False), None, ),  # 3
     (4, TType.LIST, 'running', (TType.STRUCT, [Running, None], False), None, ),  # 4
     (5, TType.MAP, 'arrivals', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
+    (6, TType.MAP, 'adapter_arrivals', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 6
 )
 all_structs.append(ReplicaView)
 ReplicaView.thrift_spec = (
--- a/src/quetzalgauge/node/codec.py
+++ b/src/quetzalgauge/node/codec.py
@@ -1,5 +1,6 @@
 """Messages between instances in their Thrift form."""
 
+from collections.abc import Mapping
 import datetime
 
 from thrift.protocol import TCompactProtocol
@@ -84,6 +85,7 @@
             for row in report.running
         ],
         dict(report.arrivals),
+        dict(report.adapter_arrivals),
     )
 
 
@@ -115,13 +117,17 @@
             )
             for row in wire.running
         ),
-        tuple(
-            (ids.ModelName(model), count)
-            for model, count in wire.arrivals.items()
-        ),
+        _counts(wire.arrivals),
+        _counts(wire.adapter_arrivals),
     )
 
 
+def _counts(
+    wire: Mapping[str, int],
+) -> tuple[tuple[ids.ModelName, int], ...]:
+    return tuple((ids.ModelName(model), count) for model, count in wire.items())
+
+
 def _board(board: exchange.Board) -> ttypes.Board:
     return ttypes.Board(
         board.availability_zone,
--- a/src/quetzalgauge/node/followers.py
+++ b/src/quetzalgauge/node/followers.py
@@ -25,6 +25,8 @@
 # The register changes several times a second. Reads are priced, and a target
 # that leaves may get requests for at least 2 s.
 REGISTER_INTERVAL = datetime.timedelta(seconds=1)
+EAGER_INTERVAL = datetime.timedelta(milliseconds=250)
+EAGER_TIME = datetime.timedelta(seconds=5)
 # Pauses after failed calls.
 FIRST_PAUSE_SECONDS = 0.05
 LONGEST_PAUSE_SECONDS = 0.4
@@ -101,7 +103,10 @@
             )
         pause = FIRST_PAUSE_SECONDS
         use(Change(items, complete, outage > OUTAGE_TIME))
-        rest = (started + interval - now()).total_seconds()
+        # Targets appear one after the other when all start together.
+        eager = now() < EAGER_TIME
+        pace = min(interval, EAGER_INTERVAL) if eager else interval
+        rest = (started + pace - now()).total_seconds()
         if rest > 0:
             time.sleep(rest)
 
