Give the seat of a zone a record that is written under a condition

Cause: a property test found two machines that could order one target within the lease time. A machine that was paused between taking the seat and writing its record overwrote the record of the one that had taken over meanwhile; and a seat that went back and forth was waited for only once.

The record now says whether its machine was active, is written only if nobody wrote since it was read, and is read again whenever the group has changed. The tests fail without the wait, without reading again after a change, and if a machine that was never active counts as the last holder.

--- a/src/quetzalgauge/core/demand.py
+++ b/src/quetzalgauge/core/demand.py
@@ -19,7 +19,8 @@
 PRIOR_RATE = 0.1
 # The prior rate weighs as much as requests over this time.
 PRIOR_SECONDS = 1.0
-# The same of a model that several targets held from the start.
+# The same of a model that a target, or several, held from the start.
+PRIOR_LOADED_RATE = 1.0
 PRIOR_BUSY_RATE = 5.0
 # Reports of an instance that has been silent for this time do not count.
 REPORT_AGE = datetime.timedelta(seconds=3)
@@ -58,6 +59,9 @@
         seconds = covered * RATE_TIME.total_seconds() + PRIOR_SECONDS
         return self._decayed(model, now) / seconds
 
+    def __iter__(self) -> Iterator[ids.ModelName]:
+        return iter(self._counts)
+
     def is_settled(self, now: datetime.timedelta) -> bool:
         """Whether there were requests for long enough to know the rates."""
         return self._began is not None and now - self._began > RATE_TIME / 2
@@ -110,11 +114,13 @@
     def use_prior(self, replicas: Mapping[ids.ModelName, int]) -> None:
         """Takes the replicas of each model before any request.
 
-        Models on several targets were placed there because they are busy.
+        What is loaded already was wanted by somebody, and models on several
+        targets are busy.
         """
         for model, count in replicas.items():
-            if count > 1:
-                self._priors[model] = PRIOR_BUSY_RATE
+            self._priors[model] = (
+                PRIOR_BUSY_RATE if count > 1 else PRIOR_LOADED_RATE
+            )
 
     def rate(self, model: ids.ModelName, now: datetime.timedelta) -> float:
         """Returns requests a second for a model, over all instances."""
@@ -123,6 +129,11 @@
             prior = self._priors.get(model, PRIOR_RATE)
         return prior + self._arrivals.rate(model, now)
 
+    def rare_rate(self, limit: float, now: datetime.timedelta) -> float:
+        """Returns requests a second for all models below a rate."""
+        rates = (self._arrivals.rate(one, now) for one in self._arrivals)
+        return sum(rate for rate in rates if rate < limit)
+
     def adapter_rate(
         self, model: ids.ModelName, now: datetime.timedelta
     ) -> float:
--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -423,8 +423,9 @@
         assert call.target is not None
         assert call.head.model is not None and call.head.adapter is not None
         current = self._fleet.directory.get(call.target.target)
+        stays = current is not None and not current.leaving
         ready = None
-        if current is not None and not current.leaving:
+        if current is not None and stays:
             ready = self._fleet.adapter_ready_at(
                 current, call.head.model, call.head.adapter, now
             )
@@ -434,7 +435,7 @@
         if ready is not None and ready < call.adapter_by:
             heapq.heappush(self._timers, (ready, call.token))
             return []
-        if current is not None and now < call.adapter_by:
+        if stays and now < call.adapter_by:
             return []
         self._wishes.drop_adapter(call.token)
         call.avoided.add(call.target.target)
@@ -459,7 +460,7 @@
         call.sent_at = now
         self._fleet.count(one.target, call.head.model, call.head.adapter, 1)
         self._wishes.note_running()
-        may_repeat = self._may_run_again(call, one)
+        may_repeat = self._may_run_again(call, one, now)
         first_by = patience.first_part_by(
             route,
             self._fleet.health.latency(one.target),
@@ -483,7 +484,9 @@
             )
         ]
 
-    def _may_run_again(self, call: _Call, one: targets.Description) -> bool:
+    def _may_run_again(
+        self, call: _Call, one: targets.Description, now: datetime.timedelta
+    ) -> bool:
         """Whether another target could run the request after this one."""
         if not call.route.repeatable:
             return False
@@ -491,8 +494,13 @@
             return False
         service, model = call.key
         if model is None:
-            return len(self._fleet.directory.of_service(service)) > 1
-        return True
+            others = self._fleet.usable(service, now)
+        else:
+            others = self._fleet.replicas(service, model, now)
+        return any(
+            other.target != one.target and other.target not in call.ran_on
+            for other in others
+        )
 
     def _wait(self, call: _Call) -> None:
         call.phase = _Phase.WAITING
@@ -768,6 +776,9 @@
             return self._give_up(call, "attempts_used", now)
         if call.started and not call.last_event and call.head.model is None:
             return self._give_up(call, failure.value, now)
+        if call.holds_answer and self._find_target(call, now) is None:
+            # The caller need not wait for another target's answer.
+            return self._give_up(call, failure.value, now)
         return self._place(call, now)
 
     def _runs_used(self, call: _Call) -> int:
--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -24,6 +24,8 @@
 # Loads from the weight store at full speed (the sites' sheets: 2 to 4 at once
 # over all targets).
 STORE_LOADS_AT_ONCE = 4
+# Requests a second for rare models, for each target, at full pressure.
+FULL_PRESSURE = 0.5
 # A target that is busy for longer loads from the weight store.
 LONG_LOAD = datetime.timedelta(seconds=1.5)
 # Room that is made for a load is kept for it for this time; an unload waits
@@ -34,6 +36,8 @@
 STORE_MARGIN = 0.9
 # How often the holder looks for something to do without any event.
 REVIEW_INTERVAL = datetime.timedelta(milliseconds=50)
+# How often loads that nobody waits for are looked at.
+SPARES_INTERVAL = datetime.timedelta(milliseconds=200)
 # How often counts of running requests alone are published.
 COUNTS_INTERVAL = datetime.timedelta(milliseconds=200)
 
@@ -77,6 +81,7 @@
         self._revision = 0
         self._counts_at = _ZERO
         self._review_at = _ZERO
+        self._spares_at = _ZERO
         self._again: list[orders.Order] = []
         self._notes: list[notes.Note] = []
 
@@ -241,10 +246,13 @@
     ) -> list[orders.Order]:
         given = []
         scene = self._make_scene(now)
+        spares = now >= self._spares_at
+        if spares:
+            self._spares_at = now + SPARES_INTERVAL
         for _ in range(len(self._stocks)):
             choice = self._continue_intent(scene, now)
             if choice is None:
-                choice = placement.choose(scene, now)
+                choice = placement.choose(scene, now, spares)
             if choice is None:
                 break
             given.append(self._carry_out(choice, token, now))
@@ -308,8 +316,15 @@
             lambda model: self._demand.adapter_rate(model, now),
             lambda target, model: self._is_guard(target, model, now),
             self._store_allowance(now),
+            self._pressure(now),
         )
 
+    def _pressure(self, now: datetime.timedelta) -> float:
+        """Returns how much other loads want a target's time, from 0 to 1."""
+        engines = max(1, sum(1 for _ in self._engine_targets()))
+        rare = self._demand.rare_rate(placement.BUSY_RATE, now)
+        return min(1.0, rare / engines / FULL_PRESSURE)
+
     def _is_guard(
         self,
         target: ids.TargetId,
--- a/src/quetzalgauge/core/patience.py
+++ b/src/quetzalgauge/core/patience.py
@@ -15,6 +15,8 @@
 # Shortest and longest wait for the first part of an answer that may be asked
 # for again elsewhere.
 SHORTEST_TRY = datetime.timedelta(milliseconds=150)
+# Engines read the prompts of a burst one after the other.
+SHORTEST_STREAM_TRY = datetime.timedelta(milliseconds=900)
 # An attempt gets this share of what is left, so that another one fits in.
 TRY_SHARE = 0.5
 # Multiples of the usual time to the first part that count as silence.
@@ -67,7 +69,10 @@
     if not may_repeat:
         return due
     usual = datetime.timedelta(seconds=usual_seconds * USUAL_MULTIPLE)
-    wait = max(SHORTEST_TRY, 2 * route.aim, usual)
+    shortest = SHORTEST_TRY
+    if route.kind is configuration.Kind.STREAM:
+        shortest = SHORTEST_STREAM_TRY
+    wait = max(shortest, 2 * route.aim, usual)
     return now + min(wait, (due - now) * TRY_SHARE)
 
 
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -31,19 +31,24 @@
 # A model with more requests a second than this should be loaded in each zone.
 BUSY_RATE = 1.5
 # Worth of the first replica of a busy model in a zone.
-REPLICA_WORTH = 1.5
+REPLICA_WORTH = 0.5
 # Worth of keeping the last replica of a busy model in a zone.
-LAST_REPLICA_WORTH = 3.0
+LAST_REPLICA_WORTH = 2.0
 # Share of the expected requests that a further replica is worth.
-SPARE_SHARE = 0.1
+SPARE_SHARE = 0.03
+# What is loaded must be worth this many times what makes way, since rates are
+# estimates and a swap takes time from both.
+SWAP_GAIN = 1.3
 # A load in advance must be worth this many times what it takes away.
 SPARE_GAIN = 2.0
+# Worth of a second of a target's time, which other loads would use.
+TIME_COST = 0.3
 # Share of the requests for adapters whose adapter is not on the target.
 ADAPTER_MISSES = 0.5
 # A model that was loaded a moment ago stays until its requests have come.
 SHORTEST_STAY = datetime.timedelta(milliseconds=300)
 # Usual rest of a request that is running when its model is to be unloaded.
-RUN_REST = datetime.timedelta(milliseconds=600)
+RUN_REST = datetime.timedelta(seconds=1)
 # A target that could do it sooner by more than this is waited for.
 WAIT_GAIN = datetime.timedelta(milliseconds=250)
 # Most models that make way for one.
@@ -68,6 +73,7 @@
         guards: Whether a target is the one of the region that stays free to
             fetch adapters of a model.
         store_loads: Loads from the weight store that may begin now.
+        pressure: From 0, where targets have time to spare, to 1.
     """
 
     stocks: Sequence[stock.Stock]
@@ -79,6 +85,7 @@
     adapter_rate: Callable[[ids.ModelName], float]
     guards: Callable[[ids.TargetId, ids.ModelName], bool]
     store_loads: int
+    pressure: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,75 +116,121 @@
     wait: datetime.timedelta
 
 
-def choose(scene: Scene, now: datetime.timedelta) -> Choice | None:
-    """Returns the best load that can begin now, None if none is worth it."""
+def choose(
+    scene: Scene, now: datetime.timedelta, spares: bool
+) -> Choice | None:
+    """Returns the best load that can begin now, None if none is worth it.
+
+    Args:
+        scene: What the choice depends on.
+        now: The time.
+        spares: Whether models that nobody waits for count.
+    """
     free = [one for one in scene.stocks if one.can_order(now)]
-    if not free:
+    if not free or not (spares or scene.wishes):
         return None
-    choices = []
-    for model in _wanted(scene, now):
-        soonest = _soonest(scene, model, now)
-        for one in free:
-            choice = _weigh(scene, one, model, soonest, now)
-            if choice is not None:
-                choices.append(choice)
-    return max(choices, key=lambda choice: choice.score, default=None)
+    rooms = _Rooms(scene, now)
+    best: Choice | None = None
+    for model in _wanted(scene, spares):
+        choice = _choose_for(scene, rooms, free, model, now)
+        if choice is not None and (best is None or choice.score > best.score):
+            best = choice
+    return best
+
 
+def _choose_for(
+    scene: Scene,
+    rooms: "_Rooms",
+    free: Sequence[stock.Stock],
+    model: ids.ModelName,
+    now: datetime.timedelta,
+) -> Choice | None:
+    """Returns the best load of one model that can begin now."""
+    choices = [
+        choice
+        for one in free
+        if (choice := _weigh(scene, rooms, one, model, now)) is not None
+    ]
+    if not choices:
+        return None
+    # A target that is busy but does it much sooner is waited for.
+    soonest = min(
+        [choice.ready_at for choice in choices]
+        + [
+            one.free_at + one.load_time(model)
+            for one in scene.stocks
+            if one not in free and _may_serve(one, model)
+        ]
+    )
+    return max(
+        (one for one in choices if one.ready_at <= soonest + WAIT_GAIN),
+        key=lambda choice: choice.score,
+        default=None,
+    )
 
-def _wanted(scene: Scene, now: datetime.timedelta) -> list[ids.ModelName]:
+
+def _may_serve(one: stock.Stock, model: ids.ModelName) -> bool:
+    """Whether a busy target can be expected to load a model next."""
+    return (
+        one.is_known
+        and model in one.engine.models
+        and not one.description.leaving
+        and len(one.replicas) > 1
+    )
+
+
+def _wanted(scene: Scene, spares: bool) -> list[ids.ModelName]:
     """Returns the models that are not loaded here and might be."""
     here = {name for one in scene.stocks for name in one.replicas}
     names: dict[ids.ModelName, None] = dict.fromkeys(scene.wishes)
-    for one in scene.stocks:
-        names.update(dict.fromkeys(one.engine.models))
+    if spares:
+        for one in scene.stocks:
+            names.update(dict.fromkeys(one.engine.models))
     return [name for name in names if name not in here]
 
 
-def _soonest(
-    scene: Scene, model: ids.ModelName, now: datetime.timedelta
-) -> datetime.timedelta:
-    """Returns when the fastest target could have a model."""
-    times = []
-    for one in scene.stocks:
-        if not one.is_known or one.description.leaving:
-            continue
-        if model not in one.engine.models:
-            continue
-        start = max(now, one.free_at)
-        times.append(start + stock.UNLOAD_TIME + one.load_time(model))
-    return min(times, default=now)
+class _Rooms:
+    """The cheapest way to make room on each target, by size."""
+
+    def __init__(self, scene: Scene, now: datetime.timedelta) -> None:
+        self._scene = scene
+        self._now = now
+        self._rooms: dict[tuple[ids.TargetId, float], _Room | None] = {}
+
+    def of(self, one: stock.Stock, size_mb: float) -> _Room | None:
+        key = (one.target, size_mb)
+        if key not in self._rooms:
+            self._rooms[key] = _make_room(self._scene, one, size_mb, self._now)
+        return self._rooms[key]
 
 
 def _weigh(
     scene: Scene,
+    rooms: _Rooms,
     one: stock.Stock,
     model: ids.ModelName,
-    soonest: datetime.timedelta,
     now: datetime.timedelta,
 ) -> Choice | None:
+    """Returns a load on a target if it is worth what it costs."""
     spec = one.engine.models.get(model)
-    if spec is None:
-        return None
-    load_time = one.load_time(model)
-    from_store = (
-        model not in one.copies.on_disk and model not in one.copies.in_memory
-    )
-    if from_store and scene.store_loads <= 0:
+    from_store = not one.has_copy(model)
+    if spec is None or (from_store and scene.store_loads <= 0):
         return None
-    room = _make_room(scene, one, spec.size_mb, now)
+    room = rooms.of(one, spec.size_mb)
     if room is None:
         return None
-    unload_time = stock.UNLOAD_TIME * len(room.victims)
-    ready_at = now + room.wait + unload_time + load_time
-    if ready_at > soonest + WAIT_GAIN:
-        return None
+    unloading = stock.UNLOAD_TIME * len(room.victims)
+    ready_at = now + room.wait + unloading + one.load_time(model)
     gain, why = _gain(scene, one, model, ready_at, from_store)
     seconds = (ready_at - now).total_seconds()
     loss = room.loss + _adapter_loss(scene, one, room.victims, seconds)
+    loss += seconds * TIME_COST * scene.pressure
     if from_store:
         loss += _copy_loss(scene, one, spec.size_mb)
     if gain <= loss or (why == "spare" and loss and gain < SPARE_GAIN * loss):
         return None
+    if gain <= room.loss * SWAP_GAIN:
+        return None
     return Choice(
         one,
         model,
@@ -243,7 +296,7 @@
     if not elsewhere:
         gain += rate * HORIZON_S
     elif is_busy:
-        gain += REPLICA_WORTH
+        gain += REPLICA_WORTH / elsewhere
     elif not waiting:
         return 0.0, why
     if from_store and not scene.copies_elsewhere(model, one.target):
@@ -302,10 +355,11 @@
     rate = scene.rate(name)
     expected = rate * HORIZON_S
     here = sum(name in other.replicas for other in scene.stocks) - 1
-    if not here and not scene.elsewhere(name):
+    elsewhere = scene.elsewhere(name)
+    if not here and not elsewhere:
         return expected
     if not here and rate >= BUSY_RATE:
-        return max(LAST_REPLICA_WORTH, expected * SPARE_SHARE)
+        return max(LAST_REPLICA_WORTH / elsewhere, expected * SPARE_SHARE)
     return expected * SPARE_SHARE
 
 
--- a/src/quetzalgauge/core/seat.py
+++ b/src/quetzalgauge/core/seat.py
@@ -3,16 +3,19 @@
 Each zone has a seat: one partition of a group in the platform's store. The
 member that holds the partition is the zone's holder. Orders to one target must
 never come from two machines within the lease time, and a target may not check
-fencing tokens, so safety rests on time:
+fencing tokens, so safety rests on time and on one record for each zone:
 
 - A holder gives orders only for `ORDER_TIME` after it asked the store last and
   was told that it has the seat.
-- A new holder waits for that time and the lease time, from the moment at
-  which it was told, unless a record in the store says that the last holder was
-  this same machine, or there was none.
+- Whenever the group has changed, a member reads the record of the zone. If the
+  last machine that was active is another one, it waits for that time and the
+  lease time, from the moment at which it was told that it has the seat.
+- Before its first order it writes that it is active, on the condition that
+  nobody has written since it read.
 
 So a holder may go on through an outage of the store for `ORDER_TIME`, even if
-the store has meanwhile given the seat to another.
+the store has meanwhile given the seat to another, and a machine that starts
+again goes on at once.
 """
 
 import dataclasses
@@ -50,6 +53,7 @@
         machine: The machine; it has another name after a replacement.
         address: Where other instances reach the holder.
         token: Its fencing token.
+        active: Whether it may have given orders.
         released: Whether it gives no more orders.
     """
 
@@ -57,16 +61,16 @@
     machine: str
     address: str
     token: int
+    active: bool = True
     released: bool = False
 
 
 class _State(enum.Enum):
     STANDBY = "standby"  # Not a member.
     LOOKING = "looking"  # Asks who has the seat.
-    JOINING = "joining"  # Asks for the seat.
-    READING = "reading"  # Has the seat, reads who had it before.
+    MEMBER = "member"  # Has asked for the seat, or keeps it.
+    READING = "reading"  # Has the seat, reads who was active last.
     WRITING = "writing"  # Writes that it has the seat.
-    HOLDING = "holding"
     LEAVING = "leaving"  # A member without the seat.
     LEFT = "left"  # Gave the seat up at the end of the process.
 
@@ -101,23 +105,37 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordRead:
-    """The record of the zone was read; None: there is none."""
+    """The record of the zone was read; None: there is none.
+
+    Attributes:
+        record: The record.
+        position: Where the next record will be written.
+        failed: There was no answer.
+    """
 
     record: Record | None
+    position: int = 0
     failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordWritten:
-    """The store has the record, or it failed."""
+    """A record was written, or not.
+
+    Attributes:
+        record: The record.
+        conflict: Another record was written before it.
+        failed: There was no answer, so it may have been written.
+    """
 
     record: Record
+    conflict: bool = False
     failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Left:
-    """The store was told that this instance leaves the group."""
+    """The store was told that this instance leaves, or could not be told."""
 
 
 Event: TypeAlias = Joined | OwnerRead | RecordRead | RecordWritten | Left
@@ -160,12 +178,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteRecord:
-    """Write the record of the zone; ends with RecordWritten."""
+    """Write the record of the zone; ends with RecordWritten.
+
+    Attributes:
+        record: The record.
+        position: Write only if this is still the next position; None: in any
+            case.
+    """
+
+    record: Record
+    position: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Mark this record as released if it is still the last; ends with Left."""
 
     record: Record
 
 
-Action: TypeAlias = Join | Leave | ReadOwner | ReadRecord | WriteRecord
+Action: TypeAlias = (
+    Join | Leave | ReadOwner | ReadRecord | WriteRecord | Release
+)
 
 
 class Seat:
@@ -197,15 +231,19 @@
         self._state = _State.STANDBY
         self._generation = 0
         self._token = 0
-        self._asked_at = _ZERO
+        self._has_seat = False
+        self._is_active = False
+        self._position = 0
         self._told_at = _ZERO
         self._orders_from = _ZERO
         self._orders_until = _ZERO
         self._next_at = now + delay
         self._last: Record | None = None
         self._last_seen = _ZERO
-        self._yield_until = now + LAST_HOLDER_TIME
         self._knows_last = False
+        # What this process has written since it was told that it has the seat.
+        self._written: Record | None = None
+        self._yield_until = now + LAST_HOLDER_TIME
         self._busy = False
         self._notes: list[notes.Note] = []
 
@@ -218,8 +256,8 @@
 
     @property
     def is_holding(self) -> bool:
-        """Whether this instance is the zone's holder."""
-        return self._state is _State.HOLDING
+        """Whether this instance is the zone's holder, as far as it knows."""
+        return self._has_seat and self._state is not _State.LEFT
 
     @property
     def token(self) -> int:
@@ -240,7 +278,9 @@
 
     def may_order_until(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns the end of the right to give orders; zero without it."""
-        if self._state is not _State.HOLDING or now < self._orders_from:
+        if self._state is not _State.MEMBER or not self._is_active:
+            return _ZERO
+        if now < self._orders_from:
             return _ZERO
         return self._orders_until
 
@@ -292,15 +332,17 @@
 
     def leave(self) -> list[Action]:
         """Gives the seat up at the end of the process."""
-        was = self._state
+        held = self._has_seat
+        active = self._is_active
         self._state = _State.LEFT
-        self._orders_until = _ZERO
-        if was not in (_State.HOLDING, _State.WRITING):
+        self._has_seat = False
+        self._is_active = False
+        if not held:
             return []
-        return [
-            WriteRecord(dataclasses.replace(self._own_record(), released=True)),
-            Leave(self._zone, self._machine),
-        ]
+        actions: list[Action] = [Leave(self._zone, self._machine)]
+        if active:
+            actions.insert(0, Release(self._own_record(active=True)))
+        return actions
 
     # ---- Steps
 
@@ -309,68 +351,87 @@
     ) -> Action | None:
         match self._state:
             case _State.STANDBY:
-                self._next_at = now + RETRY_INTERVAL
-                if not self._knows_last or holder_is_alive:
-                    return None
-                if self._was_last():
-                    self._state = _State.JOINING
-                    return self._join(now)
-                is_taken = self._last is not None and not self._last.released
-                if is_taken and now < self._yield_until:
-                    return None
-                self._state = _State.LOOKING
-                return ReadOwner(self._zone)
+                return self._claim(holder_is_alive, now)
             case _State.LOOKING:
                 return ReadOwner(self._zone)
             case _State.READING:
                 return ReadRecord(self._zone)
             case _State.WRITING:
-                return WriteRecord(self._own_record())
+                active = now >= self._orders_from
+                return WriteRecord(self._own_record(active), self._position)
             case _State.LEAVING:
                 self._state = _State.STANDBY
                 self._next_at = now + STANDBY_INTERVAL
                 return Leave(self._zone, self._machine)
-            case _State.HOLDING if not self._was_last():
-                # A claim that came to nothing left its record.
-                return WriteRecord(self._own_record())
             case _:
-                return self._join(now)
+                return self._keep(now)
 
-    def _join(self, now: datetime.timedelta) -> Action:
-        self._asked_at = now
-        self._next_at = now + RENEW_INTERVAL
+    def _claim(
+        self, holder_is_alive: bool, now: datetime.timedelta
+    ) -> Action | None:
+        """Asks for the seat if nobody seems to have it."""
+        self._next_at = now + RETRY_INTERVAL
+        if not self._knows_last or holder_is_alive:
+            return None
+        if self._was_last():
+            self._state = _State.MEMBER
+            return self._join()
+        is_taken = self._last is not None and not self._last.released
+        if is_taken and now < self._yield_until:
+            return None
+        self._state = _State.LOOKING
+        return ReadOwner(self._zone)
+
+    def _keep(self, now: datetime.timedelta) -> Action:
+        """Keeps the seat, or writes that orders will be given."""
+        is_due = self._has_seat and now >= self._orders_from
+        if is_due and not self._is_active:
+            self._state = _State.READING
+            return ReadRecord(self._zone)
+        return self._join()
+
+    def _join(self) -> Action:
         return Join(self._zone, self._machine, self._generation, SEAT_TIME)
 
     def _joined(self, event: Joined, now: datetime.timedelta) -> None:
         if event.failed:
             self._next_at = now + RETRY_INTERVAL
             return
+        changed = event.generation != self._generation
         self._generation = event.generation
         if not event.has_seat:
             self._lose(now)
             return
-        if self._state is _State.HOLDING:
-            lapsed = now >= self._orders_until
-            if not lapsed:
-                self._extend(event.asked_at)
-                return
-        if self._state in (_State.JOINING, _State.HOLDING):
-            # Another machine may have had the seat in between.
-            self._told_at = now
-            self._token = event.generation
-            self._asked_at = event.asked_at
-            self._state = _State.READING
-            self._next_at = now
+        lapsed = now >= self._orders_until
+        self._orders_until = event.asked_at + ORDER_TIME
+        if self._has_seat and not changed and not lapsed:
+            self._plan(event.asked_at, now)
+            return
+        # Another machine may have had the seat in between.
+        self._told_at = now
+        self._token = event.generation
+        self._has_seat = True
+        self._is_active = False
+        self._written = None
+        self._state = _State.READING
+        self._next_at = now
 
-    def _extend(self, asked_at: datetime.timedelta) -> None:
-        self._orders_until = max(self._orders_until, asked_at + ORDER_TIME)
+    def _plan(
+        self, asked_at: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        """Sets when the seat is kept next, or when orders may begin."""
+        self._next_at = asked_at + RENEW_INTERVAL
+        if not self._is_active and self._orders_from > now:
+            self._next_at = min(self._next_at, self._orders_from)
 
     def _lose(self, now: datetime.timedelta) -> None:
         """The store gave the seat to another, or has not given it yet."""
-        if self._state is _State.HOLDING:
-            self._note("seat_lost", {})
+        if self._has_seat:
+            self._note("seat_lost", {"token": self._token})
         self._state = _State.LEAVING
         self._generation = 0
+        self._has_seat = False
+        self._is_active = False
         self._orders_until = _ZERO
         self._next_at = now
 
@@ -379,7 +440,7 @@
             self._next_at = now + RETRY_INTERVAL
             return
         if event.owner is None or event.owner == self._machine:
-            self._state = _State.JOINING
+            self._state = _State.MEMBER
             self._next_at = now
             return
         self._state = _State.STANDBY
@@ -390,34 +451,40 @@
             self._next_at = now + RETRY_INTERVAL
             return
         self.note_last(event.record, now)
-        self._orders_from = self._first_order_at()
+        self._position = event.position
+        if self._written is None or event.record != self._written:
+            # A wait that has begun is never shortened by what is read later.
+            self._orders_from = max(self._orders_from, self._first_order_at())
         self._state = _State.WRITING
         self._next_at = now
 
     def _first_order_at(self) -> datetime.timedelta:
-        if self._last is None or self._was_last():
+        last = self._last
+        if last is None or (self._was_last() and last.active):
             return self._told_at
         wait = self._lease + CLOCK_MARGIN
-        if self._last.released:
+        if last.released:
             return self._last_seen + wait
         return self._told_at + ORDER_TIME + wait
 
     def _record_written(
         self, event: RecordWritten, now: datetime.timedelta
     ) -> None:
-        if event.failed:
-            self._next_at = now + RETRY_INTERVAL
+        if event.failed or event.conflict:
+            self._state = _State.READING
+            self._next_at = now + (RETRY_INTERVAL if event.failed else _ZERO)
             return
         self._last = event.record
-        if self._state is _State.HOLDING:
-            return
-        self._state = _State.HOLDING
-        self._extend(self._asked_at)
-        self._next_at = self._asked_at + RENEW_INTERVAL
+        self._last_seen = now
+        self._written = event.record
+        self._is_active = event.record.active
+        self._state = _State.MEMBER
+        self._plan(now, now)
         self._note(
             "seat_taken",
             {
                 "token": self._token,
+                "active": self._is_active,
                 "orders_in_s": max(
                     0.0, (self._orders_from - now).total_seconds()
                 ),
@@ -427,8 +494,10 @@
     def _was_last(self) -> bool:
         return self._last is not None and self._last.machine == self._machine
 
-    def _own_record(self) -> Record:
-        return Record(self._zone, self._machine, self._address, self._token)
+    def _own_record(self, active: bool) -> Record:
+        return Record(
+            self._zone, self._machine, self._address, self._token, active
+        )
 
     def _note(self, event: str, fields: dict[str, object]) -> None:
         self._notes.append(notes.Note(event, {"zone": self._zone, **fields}))
--- a/src/quetzalgauge/core/stock.py
+++ b/src/quetzalgauge/core/stock.py
@@ -50,12 +50,15 @@
         ready_at: When it is expected to be ready (or gone, if unloading).
         used_at: When a request last ran or waited for it.
         confirmed: Whether a report has shown it as loaded.
+        is_certain: Whether `ready_at` can be relied upon. A load from the
+            weight store takes longer while others are under way.
     """
 
     state: State
     ready_at: datetime.timedelta
     used_at: datetime.timedelta
     confirmed: bool = False
+    is_certain: bool = True
 
 
 AdapterKey = tuple[ids.ModelName, ids.AdapterName]
@@ -123,15 +126,23 @@
             and self.order is None
             and not self._doubtful
             and now >= self.free_at
+            and not self._is_loading()
             and not self.description.leaving
         )
 
+    def _is_loading(self) -> bool:
+        """Whether a load is under way whose end is not certain."""
+        return any(
+            replica.state is State.LOADING and not replica.is_certain
+            for replica in self.replicas.values()
+        )
+
     def is_ready(self, model: ids.ModelName, now: datetime.timedelta) -> bool:
         """Whether a model takes requests."""
         replica = self.replicas.get(model)
         return (
             replica is not None
-            and replica.state is not State.UNLOADING
+            and replica.state is State.READY
             and replica.ready_at <= now
         )
 
@@ -161,6 +172,11 @@
         self._reserve(order, now)
         return order
 
+    def has_copy(self, model: ids.ModelName) -> bool:
+        """Whether this target need not load a model from the store."""
+        copies = self.copies
+        return model in copies.in_memory or model in copies.on_disk
+
     def load_time(self, model: ids.ModelName) -> datetime.timedelta:
         """Returns how long this target takes to load a model."""
         return fleet.load_time(self.engine.models[model], self.copies)
@@ -239,7 +255,10 @@
             if replica.state is State.UNLOADING
         ]:
             self._drop(name)
-        self.replicas[order.model] = Replica(State.LOADING, done, now)
+        is_certain = done - now < self.engine.models[order.model].store_load
+        self.replicas[order.model] = Replica(
+            State.LOADING, done, now, is_certain=is_certain
+        )
         self.free_at = done
         self._ask_at = done + REPORT_LAG
         self._note_copy(order.model)
@@ -290,7 +309,16 @@
             or not self._may_be_busy()
         ):
             self._forget(now)
-        self.free_at = now + BUSY_PAUSE * self._conflicts
+        self._delay(now + BUSY_PAUSE * max(1, self._conflicts))
+
+    def _delay(self, until: datetime.timedelta) -> None:
+        """An order takes longer than expected."""
+        self.free_at = until
+        self._ask_at = min(self._ask_at or until, until)
+        for replica in self.replicas.values():
+            if replica.state is not State.UNLOADING and not replica.confirmed:
+                replica.state = State.LOADING
+                replica.ready_at = until
 
     def _may_be_busy(self) -> bool:
         """Whether a conflict may only mean that an order takes longer."""
@@ -356,7 +384,9 @@
         seen_at = event.asked_at - REPORT_LAG
         if self.order is not None or seen_at < self._taken_at:
             if self._unconfirmed():
-                self._ask_at = now + BUSY_PAUSE
+                self._ask_at = max(
+                    now + BUSY_PAUSE, self._taken_at + REPORT_LAG
+                )
             return None
         if status.orders_taken != self._orders_taken:
             self._adopt(status, now)
@@ -456,8 +486,12 @@
         nothing there.
         """
         for replica in self.replicas.values():
-            if replica.state is State.LOADING and replica.ready_at <= now:
+            if replica.state is not State.LOADING or replica.ready_at > now:
+                continue
+            if replica.is_certain:
                 replica.state = State.READY
+            else:
+                replica.ready_at = now + REPORT_LAG
         for one in self.adapters.values():
             if one.state is State.LOADING and one.ready_at <= now:
                 one.state = State.READY
--- a/src/quetzalgauge/core/wishes.py
+++ b/src/quetzalgauge/core/wishes.py
@@ -16,6 +16,8 @@
 
 # A zone that has not begun a load after this time is not asked any more.
 ZONE_PATIENCE = datetime.timedelta(milliseconds=1200)
+# A zone that does not begin is not left for one that is slower than this.
+ZONE_LOSS = datetime.timedelta(milliseconds=700)
 # A zone is left for one that is faster by more than this.
 ZONE_GAIN = datetime.timedelta(milliseconds=700)
 
@@ -165,7 +167,12 @@
             gain = current[0].ready_at - best.ready_at
             if gain <= ZONE_GAIN and waited < ZONE_PATIENCE:
                 return
-            others = [one for one in offers if one is not current[0]]
+            others = [
+                one
+                for one in offers
+                if one is not current[0]
+                and one.ready_at <= current[0].ready_at + ZONE_LOSS
+            ]
             best = others[0] if others else current[0]
         if wish.zone != best.availability_zone:
             self._urgent = True
--- a/src/quetzalgauge/node/seating.py
+++ b/src/quetzalgauge/node/seating.py
@@ -56,15 +56,15 @@
             owner = seats.read_owner(client, action.availability_zone)
             return seat.OwnerRead(owner)
         case seat.ReadRecord():
-            items, _ = client.read_newest(seats.TOPIC)
-            for item in items:
-                if item.key == action.availability_zone and item.value:
-                    record = seats.decode_record(item.key, item.value)
-                    return seat.RecordRead(record)
-            return seat.RecordRead(None)
+            record, position = seats.read_record(
+                client, action.availability_zone
+            )
+            return seat.RecordRead(record, position)
         case seat.WriteRecord():
-            seats.write_record(client, action.record)
-            return seat.RecordWritten(action.record)
+            written = seats.write_record(client, action.record, action.position)
+            return seat.RecordWritten(action.record, conflict=not written)
+        case seat.Release():
+            seats.release(client, action.record)
         case seat.Leave():
             seats.leave(client, action)
     return seat.Left()
--- a/src/quetzalgauge/platform/seats.py
+++ b/src/quetzalgauge/platform/seats.py
@@ -1,5 +1,6 @@
 """Seats of the zones' holders as groups and records of the store."""
 
+import dataclasses
 import json
 
 from quetzalgauge import exceptions
@@ -11,6 +12,8 @@
 
 # Topic of the system's own: the last holder of each zone.
 TOPIC = "keyed.holders"
+# The holders of other zones may write at the same time.
+RELEASE_TRIES = 4
 
 
 def _group(zone: ids.AvailabilityZone) -> str:
@@ -45,16 +48,55 @@
     return client.read_owner(_group(zone), _group(zone))
 
 
-def write_record(client: store.Store, record: seat.Record) -> None:
-    """Writes who holds a zone."""
+def read_record(
+    client: store.Store, zone: ids.AvailabilityZone
+) -> tuple[seat.Record | None, int]:
+    """Returns the record of a zone, and where the next one will be written.
+
+    Raises:
+        exceptions.PlatformError: There is no answer.
+        exceptions.DecodeError: The answer is not valid.
+    """
+    items, position = client.read_newest(TOPIC)
+    for item in items:
+        if item.key == zone and item.value is not None:
+            return decode_record(item.key, item.value), position
+    return None, position
+
+
+def write_record(
+    client: store.Store, record: seat.Record, position: int | None
+) -> bool:
+    """Writes who holds a zone; False if the position has passed."""
     value = {
         "machine": record.machine,
         "address": record.address,
         "token": record.token,
+        "active": record.active,
         "released": record.released,
     }
     data = json.dumps(value).encode()
-    client.write(TOPIC, record.availability_zone, data)
+    return client.write(TOPIC, record.availability_zone, data, position)
+
+
+def release(client: store.Store, record: seat.Record) -> bool:
+    """Marks a record as released if it is still the last of its zone.
+
+    Returns:
+        Whether it was marked.
+
+    Raises:
+        exceptions.PlatformError: There is no answer.
+        exceptions.DecodeError: The answer is not valid.
+    """
+    released = dataclasses.replace(record, released=True)
+    for _ in range(RELEASE_TRIES):
+        found, position = read_record(client, record.availability_zone)
+        if found != record:
+            return False
+        if write_record(client, released, position):
+            return True
+    return False
 
 
 def decode_record(key: str, data: bytes) -> seat.Record:
@@ -73,5 +115,6 @@
         fields.text(row, "machine"),
         register.check_address(fields.text(row, "address")),
         fields.integer(row, "token"),
+        fields.flag(row, "active"),
         fields.flag(row, "released"),
     )
--- a/src/quetzalgauge/platform/store.py
+++ b/src/quetzalgauge/platform/store.py
@@ -119,16 +119,31 @@
         records = list(_split(answer.data))
         return [_decode_keyed(one) for one in records], position + len(records)
 
-    def write(self, topic: str, key: str, value: bytes) -> None:
+    def write(
+        self, topic: str, key: str, value: bytes, position: int | None
+    ) -> bool:
         """Writes a record of a keyed topic.
 
+        Args:
+            topic: The topic.
+            key: The key.
+            value: The value.
+            position: Write only if the topic still ends there, unless None.
+
+        Returns:
+            Whether it was written; False: the topic ends elsewhere.
+
         Raises:
             exceptions.NotSentError: Nothing was written.
-            exceptions.PlatformError: It may have been written.
+            exceptions.PlatformError: It may have been written, or may be
+                written later if the condition still holds.
         """
         name = key.encode()
         record = bytes([len(name)]) + name + value
-        query = urllib.parse.urlencode({"topic": topic, "part": PARTITION})
+        fields_of_query = {"topic": topic, "part": PARTITION}
+        if position is not None:
+            fields_of_query["at"] = position
+        query = urllib.parse.urlencode(fields_of_query)
         answer = self._connection.call(
             "POST",
             f"/log-append?{query}",
@@ -136,7 +151,10 @@
             _LENGTH.pack(len(record)) + record,
             _IDENTITY,
         )
+        if answer.status == 412:
+            return False
         _require(answer, 200)
+        return True
 
     def join(
         self,
--- /dev/null
+++ b/tests/core_samples.py
@@ -0,0 +1,250 @@
+"""Samples for the tests of the decision core."""
+
+import datetime
+import random
+
+from quetzalgauge.core import configuration
+from quetzalgauge.core import exchange
+from quetzalgauge.core import fleet as fleet_module
+from quetzalgauge.core import gateway
+from quetzalgauge.core import health
+from quetzalgauge.core import orders
+from quetzalgauge.core import requests
+from quetzalgauge.core import stock
+from quetzalgauge.core import targets
+
+ZONE = "zone-a"
+ENGINES = "engines"
+PLAIN = "desk"
+HOST = "site.example"
+
+
+def seconds(value):
+    return datetime.timedelta(seconds=value)
+
+
+def ms(value):
+    return datetime.timedelta(milliseconds=value)
+
+
+def make_model(name, size_mb=60_000.0, adapters=0, store=6.0, disk=0.8):
+    return configuration.Model(
+        name,
+        size_mb,
+        seconds(store),
+        seconds(disk),
+        seconds(0.5),
+        adapters,
+        40.0,
+    )
+
+
+def make_engine(models, memory_mb=200_000.0, adapter_slots=8, slots=48):
+    return configuration.Engine(
+        slots,
+        120_000,
+        memory_mb,
+        adapter_slots,
+        140_000.0,
+        710_000.0,
+        4.0,
+        {model.name: model for model in models},
+    )
+
+
+def make_route(
+    prefix, kind, service, attempts=2, resumable=False, aim=0.25, timeout=12.0
+):
+    return configuration.Route(
+        f"r{prefix.strip('/')}",
+        HOST,
+        prefix,
+        kind,
+        seconds(timeout),
+        seconds(aim),
+        attempts,
+        1,
+        (configuration.Backend(service, 1.0),),
+        resumable,
+        ms(150) if kind is configuration.Kind.STREAM else None,
+    )
+
+
+MODELS = [make_model(f"m{number}", adapters=20) for number in range(6)]
+ROUTES = [
+    make_route("/live/", configuration.Kind.STREAM, ENGINES, resumable=True),
+    make_route(
+        "/rare/",
+        configuration.Kind.STREAM,
+        ENGINES,
+        attempts=1,
+        aim=2.5,
+        timeout=20.0,
+    ),
+    make_route(
+        "/book/", configuration.Kind.UNSAFE, PLAIN, attempts=1, timeout=1.0
+    ),
+    make_route("/look/", configuration.Kind.SAFE, PLAIN, timeout=1.0),
+]
+
+
+def make_configuration(version=1, routes=None, models=None):
+    return configuration.Configuration(
+        version,
+        ROUTES if routes is None else routes,
+        [
+            configuration.Service(ENGINES, 300, make_engine(models or MODELS)),
+            configuration.Service(PLAIN, 96),
+        ],
+        configuration.CallerLimits(),
+    )
+
+
+def make_target(
+    name,
+    service=PLAIN,
+    zone=ZONE,
+    slots=6,
+    models=(),
+    disk=(),
+    leaving=False,
+    incarnation=1,
+):
+    return targets.Description(
+        name,
+        incarnation,
+        service,
+        f"10.0.0.{sum(name.encode()) % 250}:80",
+        zone,
+        slots,
+        leaving,
+        models=tuple(targets.LoadedModel(model) for model in models),
+        copies=targets.Copies((), tuple(disk)),
+    )
+
+
+def make_head(path="/look/1", model=None, adapter=None, patience=None, **more):
+    return requests.Head(
+        more.pop("request_id", "id-1"),
+        HOST,
+        path,
+        patience,
+        model,
+        adapter,
+        **more,
+    )
+
+
+class GatewayBench:
+    """A gateway with a clock, a fleet and short ways to drive it."""
+
+    def __init__(self, entries=(), in_progress=100, slack=50.0, config=None):
+        self.now = seconds(100)
+        self.fleet = fleet_module.Fleet(ZONE, health.Health())
+        self.fleet.directory.update(
+            targets.RegisterChanged(tuple(entries), complete=True), self.now
+        )
+        self.gateway = gateway.Gateway(
+            gateway.Limits(in_progress, 0.2, slack, seconds(10)),
+            self.fleet,
+            ZONE,
+            random.Random(1),
+        )
+        self.gateway.configure(config or make_configuration())
+        self.token = 0
+
+    def arrive(self, *args, **more):
+        self.token += 1
+        head = make_head(*args, **more)
+        return self.step(requests.Arrived(self.token, head))
+
+    def step(self, event):
+        return self.gateway.step(event, self.now)
+
+    def fail(self, failure, token=None, **more):
+        return self.step(
+            requests.AttemptEnded(token or self.token, failure, **more)
+        )
+
+    def advance(self, by):
+        self.now += by
+        return self.gateway.wake(self.now)
+
+    def change(self, *entries, removed=(), **more):
+        self.fleet.directory.update(
+            targets.RegisterChanged(tuple(entries), tuple(removed), **more),
+            self.now,
+        )
+        return self.gateway.fleet_changed(self.now)
+
+    def publish(self, *views, orders_in=0.0, backlog=0, complete=False):
+        self.fleet.use_board(
+            exchange.Board(
+                ZONE,
+                "qg-1",
+                1,
+                complete,
+                seconds(orders_in),
+                backlog,
+                1,
+                tuple(views),
+            ),
+            self.now,
+        )
+        return self.gateway.fleet_changed(self.now)
+
+
+def view(target, ready=(), loading=(), adapters=(), closing=(), running=0):
+    replicas = [exchange.ReplicaView(model, seconds(-1)) for model in ready]
+    replicas += [
+        exchange.ReplicaView(model, seconds(after)) for model, after in loading
+    ]
+    replicas += [
+        exchange.ReplicaView(model, seconds(-1), True) for model in closing
+    ]
+    return exchange.TargetView(
+        target,
+        1,
+        tuple(replicas),
+        tuple(
+            exchange.AdapterView(model, adapter, seconds(after))
+            for model, adapter, after in adapters
+        ),
+        seconds(0),
+        running,
+    )
+
+
+def make_stock(name="t1", models=(), disk=(), engine=None, now=seconds(100)):
+    """Returns the ledger of a target whose first report was read."""
+    one = stock.Stock(
+        make_target(name, ENGINES, slots=48, models=models, disk=disk),
+        engine or make_engine(MODELS),
+    )
+    one.note_asked()
+    one.use_status(
+        orders.StatusRead(name, 1, make_status(models, disk=disk), now), now
+    )
+    return one
+
+
+def make_status(models=(), taken=0, busy=False, disk=(), coming=()):
+    return orders.Status(
+        taken,
+        busy,
+        tuple(
+            model
+            if isinstance(model, targets.LoadedModel)
+            else targets.LoadedModel(model)
+            for model in models
+        ),
+        tuple(coming),
+        targets.Copies((), tuple(disk)),
+        0,
+        0,
+    )
+
+
+def only(actions, kind):
+    """Returns the actions of a kind."""
+    return [action for action in actions if isinstance(action, kind)]
