--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -227,7 +227,9 @@
     loss += seconds * TIME_COST * scene.pressure
     if from_store:
         loss += _copy_loss(scene, one, spec.size_mb)
-    if gain <= loss or (why == "spare" and loss and gain < SPARE_GAIN * loss):
+    if gain <= loss:
+        return None
+    if why in ("spare", "copy") and gain < SPARE_GAIN * loss:
         return None
     if gain <= room.loss * SWAP_GAIN:
         return None
--- a/src/quetzalgauge/node/links.py
+++ b/src/quetzalgauge/node/links.py
@@ -45,6 +45,7 @@
         self.unsent: collections.deque[bytes] = collections.deque()
         self.unsent_bytes = 0
         self.is_open = False
+        self.is_closed = False
         self.heard = 0.0
 
     def fileno(self) -> int:
@@ -203,12 +204,15 @@
         self._tell(node.LinkOpened(connection.link))
 
     def _serve(self, connection: _Connection, events: int) -> None:
+        if connection.is_closed:
+            # An event before this one in the same round closed it.
+            return
         if not connection.is_open:
             self._opened(connection)
             return
         if events & selectors.EVENT_WRITE:
             self._flush(connection)
-        if events & selectors.EVENT_READ:
+        if events & selectors.EVENT_READ and not connection.is_closed:
             self._read(connection)
 
     def _flush(self, connection: _Connection) -> None:
@@ -257,6 +261,7 @@
             self._selector.unregister(connection.handle)
         connection.handle.close()
         connection.is_open = False
+        connection.is_closed = True
         self._connections.pop(connection.link, None)
         if not isinstance(connection.link, int):
             wanted = self._wanted.get(connection.link)
--- a/tests/core_samples.py
+++ b/tests/core_samples.py
@@ -215,7 +215,7 @@
     )
 
 
-def make_stock(name="t1", models=(), disk=(), engine=None, now=seconds(100)):
+def make_stock(name="t1", models=(), disk=(), engine=None, now=seconds(90)):
     """Returns the ledger of a target whose first report was read."""
     one = stock.Stock(
         make_target(name, ENGINES, slots=48, models=models, disk=disk),
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,364 @@
+"""Names and formats of the users' platform."""
+
+import json
+import struct
+
+import core_samples as samples
+import pytest
+
+from quetzalgauge import exceptions
+from quetzalgauge.core import configuration
+from quetzalgauge.core import orders
+from quetzalgauge.core import requests
+from quetzalgauge.platform import config
+from quetzalgauge.platform import engine
+from quetzalgauge.platform import headers
+from quetzalgauge.platform import register
+from quetzalgauge.platform import seats
+from quetzalgauge.platform import store
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "uy-south-a",
+    "version": "v1",
+    "slots": 48,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "born": 1776198568153,
+    "stage": "both",
+    "models": [{"name": "m0", "version": 1, "adapters": ["a1"]}],
+    "at_hand": {"in_memory": [], "on_disk": ["m0", "m1"]},
+    "seq": 4,
+}
+
+
+def encode(value):
+    return json.dumps(value).encode()
+
+
+# ---- Requests
+
+
+def test_a_request_is_decoded():
+    head = headers.decode_request(
+        [
+            ("Host", "ficu95.example"),
+            ("Request-Id", "9c41"),
+            ("Last-Event-Id", "12"),
+            ("Model", "daka/a3"),
+            ("Token-Counts", "1460,80"),
+            ("Deadline-Ms", "12000"),
+        ],
+        "/lohu930/2f",
+    )
+    assert (head.model, head.adapter) == ("daka", "a3")
+    assert (head.prompt_tokens, head.output_tokens) == (1460, 80)
+    assert head.patience == samples.seconds(12)
+    assert head.last_event == "12"
+
+
+def test_a_deadline_that_is_no_number_is_refused():
+    """Guards against a request that waits without an end."""
+    with pytest.raises(exceptions.DecodeError):
+        headers.decode_request([("Deadline-Ms", "soon")], "/")
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "Hold",
+        "pin-ms",
+        "KV-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+        "Expect-Instance",
+        "Expect-Version",
+        "Request-Priority",
+        "Deadline-Ms",
+        "Connection",
+        "Transfer-Encoding",
+    ],
+)
+def test_a_callers_system_headers_go_nowhere(name):
+    """Guards against a caller that reserves capacity or picks a target."""
+    given = [(name, "1"), ("Model", "m0")]
+    assert list(headers.forwarded(given)) == [("Model", "m0")]
+
+
+def test_headers_named_by_the_connection_header_go_nowhere():
+    """Guards against headers of one connection passed on to the next."""
+    given = [("Connection", "close, X-Own"), ("x-own", "1"), ("X-Other", "2")]
+    assert list(headers.forwarded(given)) == [("X-Other", "2")]
+
+
+def test_the_target_gets_what_is_left_of_the_time():
+    """Guards against a target that works past the caller's deadline."""
+    added = dict(headers.added("i-1", samples.ms(740), "7", 2))
+    assert added == {
+        "Expect-Instance": "i-1",
+        "Deadline-Ms": "740",
+        "Last-Event-Id": "7",
+        "Request-Priority": "2",
+    }
+
+
+def test_an_answer_says_whether_the_request_ran():
+    """Guards against a promise that a target did not make."""
+    assert headers.decode_answer(503, {"Not-Run": "1"}).not_run
+    assert headers.decode_answer(421, {}).not_run
+    assert not headers.decode_answer(503, {}).not_run
+    assert not headers.decode_answer(500, {"Request-Id": "x"}).not_run
+
+
+def test_a_refusal_names_its_request_and_when_to_come_back():
+    assert dict(headers.of_refusal("id", samples.ms(1250))) == {
+        "Request-Id": "id",
+        "Retry-After": "1.25",
+    }
+
+
+# ---- Register
+
+
+def test_an_entry_is_decoded():
+    found = register.decode("i-1", encode(ENTRY))
+    assert found.target == "i-1"
+    assert found.incarnation == 1776198568153
+    assert [model.name for model in found.models] == ["m0"]
+    assert found.copies.on_disk == ("m0", "m1")
+    assert not found.leaving
+
+
+def test_an_entry_of_a_plain_service_needs_no_models():
+    row = {
+        key: value
+        for key, value in ENTRY.items()
+        if key not in ("models", "at_hand", "stage")
+    }
+    assert register.decode("i-1", encode(row)).models == ()
+
+
+def test_a_leaving_target_may_say_how_long_it_stays():
+    row = {**ENTRY, "state": "draining", "remaining_ms": 1700}
+    found = register.decode("i-1", encode(row))
+    assert found.leaving and found.leaves_in == samples.ms(1700)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": None},
+        {"service": 3},
+        {"address": "nowhere"},
+        {"address": "10.0.0.1:99999"},
+        {"zone": []},
+        {"slots": 0},
+        {"slots": "48"},
+        {"slots": True},
+        {"state": "resting"},
+        {"born": 1.5},
+        {"born": None},
+        {"seq": "4"},
+        {"models": {}},
+        {"models": [{"version": 1}]},
+        {"at_hand": {"on_disk": [3]}},
+        {"remaining_ms": "soon"},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_target(change):
+    """Guards against requests sent to where a forged entry points."""
+    with pytest.raises(exceptions.DecodeError):
+        register.decode("i-1", encode({**ENTRY, **change}))
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff\xfe", encode(ENTRY)[:40], b"[]", b"null", b"[" * 9999]
+)
+def test_a_torn_entry_names_no_target(data):
+    """Guards against a follower that ends on bytes it cannot read."""
+    with pytest.raises(exceptions.DecodeError):
+        register.decode("i-1", data)
+
+
+# ---- Configuration
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "Ficu95.example",
+            "path_prefix": "/pufi791/",
+            "kind": "stream",
+            "timeout_ms": 20000,
+            "target_latency_ms": 2500,
+            "priority": 1,
+            "service": "huvo11a",
+            "attempts": 1,
+            "sticky": True,
+            "can_resume": False,
+            "gap_aim_ms": 150,
+        },
+        {
+            "name": "r2",
+            "host": "ficu95.example",
+            "path_prefix": "/pufi791/deep/",
+            "kind": "safe",
+            "timeout_ms": 1000,
+            "priority": 2,
+            "backends": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "wuno96b", "weight": 10},
+            ],
+            "attempts": 2,
+        },
+    ],
+    "services": [
+        {
+            "name": "huvo11a",
+            "max_conns": 290,
+            "engine": {
+                "slots": 48,
+                "kv_capacity": 123290,
+                "host_mb": 140000.0,
+                "disk_mb": 710000.0,
+                "models": [
+                    {
+                        "name": "m0",
+                        "model_size": 42700.0,
+                        "load_s": 6.0,
+                        "adapters": 37,
+                        "adapter_mb": 66.0,
+                        "warm_s": 0.44,
+                        "disk_s": 0.57,
+                    }
+                ],
+                "model_size": 200000.0,
+                "adapter_slots": 8,
+                "loads_per_s": 3.9,
+            },
+        },
+        {"name": "wuno96b", "max_conns": 96},
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+
+
+def test_a_configuration_is_decoded():
+    found = config.decode(encode(CONFIG))
+    assert found.version == 7
+    route = found.find_route("FICU95.example:80", "/pufi791/2f")
+    assert (route.name, route.kind) == ("r1", configuration.Kind.STREAM)
+    assert not route.repeatable
+    model = found.services["huvo11a"].engine.models["m0"]
+    assert model.memory_load == samples.ms(440)
+    assert found.services["wuno96b"].engine is None
+
+
+def test_the_longest_prefix_decides():
+    """Guards against a request that reaches a service it must not."""
+    found = config.decode(encode(CONFIG))
+    route = found.find_route("ficu95.example", "/pufi791/deep/1")
+    assert route.name == "r2"
+    assert found.find_route("ficu95.example", "/pufi791") is None
+    assert found.find_route("ficu95.example", "/pufi7910/1") is None
+    assert found.find_route("other.example", "/pufi791/1") is None
+
+
+def test_an_unknown_kind_is_not_repeated():
+    """Guards against a later kind of route that runs twice."""
+    row = {**CONFIG["routes"][0], "kind": "keyed"}
+    found = config.decode(encode({**CONFIG, "routes": [row]}))
+    assert not found.find_route("ficu95.example", "/pufi791/1").repeatable
+
+
+@pytest.mark.parametrize(
+    "change", [{"version": "7"}, {"routes": {}}, {"services": [3]}]
+)
+def test_an_unreadable_configuration_changes_nothing(change):
+    """Guards against a process that serves half a configuration."""
+    with pytest.raises(exceptions.DecodeError):
+        config.decode(encode({**CONFIG, **change}))
+
+
+# ---- Engines
+
+
+def test_a_report_is_decoded():
+    row = {
+        "stage": "both",
+        "models": [{"name": "m0", "version": 1, "adapters": ["a1"]}],
+        "busy": False,
+        "seq": 2,
+        "queued": 1,
+        "running": 12,
+        "kv_used": 41000,
+        "kv_total": 90000,
+        "handles": 0,
+        "coming": ["m0/a7@1"],
+    }
+    found = engine.decode_status(encode(row))
+    assert (found.orders_taken, found.busy, found.running) == (2, False, 12)
+    assert found.coming == (("m0", "a7"),)
+
+
+def test_statuses_of_orders_are_told_apart():
+    """Guards against an order that is taken as carried out."""
+    assert engine._ANSWERS[202] is orders.Answer.ACCEPTED
+    assert engine._ANSWERS[409] is orders.Answer.CONFLICT
+    assert engine._ANSWERS[412] is orders.Answer.FENCED
+
+
+# ---- Store
+
+
+def frame(*records):
+    return b"".join(struct.pack(">I", len(one)) + one for one in records)
+
+
+def keyed(key, value=b""):
+    return bytes([len(key)]) + key.encode() + value
+
+
+def test_records_of_a_read_are_split():
+    data = struct.pack(">QQ", 9, 2) + frame(keyed("a", b"1"), keyed("b"))
+    items = [store._decode_keyed(one) for one in store._split(data)]
+    assert items == [store.Item("a", b"1"), store.Item("b", None)]
+
+
+@pytest.mark.parametrize("cut", [1, 10, 17, 20])
+def test_a_cut_answer_of_the_store_is_no_answer(cut):
+    """Guards against records that are lost with half of an answer."""
+    data = struct.pack(">QQ", 9, 2) + frame(keyed("a", b"12345"))
+    with pytest.raises(exceptions.DecodeError):
+        list(store._split(data[:cut]))
+
+
+def test_a_record_of_a_holder_survives_the_way_through_the_store():
+    value = {
+        "machine": "qg-1@10.0.0.1",
+        "address": "10.0.0.1:7380",
+        "token": 7,
+        "active": True,
+        "released": False,
+    }
+    record = seats.decode_record("uy-south-a", encode(value))
+    assert (record.machine, record.token) == ("qg-1@10.0.0.1", 7)
+    with pytest.raises(exceptions.DecodeError):
+        seats.decode_record("uy-south-a", encode({**value, "token": "7"}))
+
+
+def test_failures_that_did_not_run_are_exactly_the_promised_ones():
+    """Guards against "not run" said of a request that may have run."""
+    assert {
+        requests.Failure.UNREACHABLE,
+        requests.Failure.FULL,
+        requests.Failure.NOT_LOADED,
+        requests.Failure.OTHER_TARGET,
+    } == requests.NOT_RUN
