Test instances as real processes before a stand-in of the platform

standin_site speaks the platform's formats: store with groups and conditions, model engines with three tiers of copies, plain services.

--- /dev/null
+++ b/src/quetzalgauge/standin_nodes.py
@@ -0,0 +1,188 @@
+"""Instances as real processes on loopback, before a stand-in site."""
+
+import dataclasses
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+from quetzalgauge import exceptions
+from quetzalgauge.platform import ingress
+
+READY_SECONDS = 20.0
+STOP_SECONDS = 15.0
+_POLL_SECONDS = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class Instance:
+    """One process.
+
+    Attributes:
+        name: Name of the instance.
+        settings: Its settings file.
+        ports: Ports for callers, readiness, links and operators.
+        process: The process, None while it is down.
+    """
+
+    name: str
+    settings: pathlib.Path
+    ports: tuple[int, int, int, int]
+    log: pathlib.Path
+    process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where callers connect."""
+        return "127.0.0.1", self.ports[0]
+
+    def get(self, port: int, path: str) -> tuple[int, bytes]:
+        """Asks one of the small listeners; (0, b"") without an answer."""
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=3)
+        try:
+            connection.request("GET", path)
+            response = connection.getresponse()
+            return response.status, response.read()
+        except OSError:
+            return 0, b""
+        finally:
+            connection.close()
+
+    def is_ready(self) -> bool:
+        """Whether the instance welcomes callers."""
+        return self.get(self.ports[1], ingress.READY_PATH)[0] == 200
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state of the process."""
+        value: dict[str, Any] = json.loads(self.get(self.ports[3], "/dump")[1])
+        return value
+
+    def signal(self, number: int) -> None:
+        """Sends a signal."""
+        if self.process is not None:
+            self.process.send_signal(number)
+
+
+class Nodes:
+    """Instances before a site.
+
+    Args:
+        directory: Where settings and logs lie.
+        store: HOST:PORT of the store, or of a proxy before it.
+        zones: The zone of each instance.
+    """
+
+    def __init__(
+        self, directory: pathlib.Path, store: str, zones: list[str]
+    ) -> None:
+        self.instances: list[Instance] = []
+        ports = _free_ports(4 * len(zones))
+        for number, zone in enumerate(zones):
+            own = tuple(ports[4 * number : 4 * number + 4])
+            name = f"qg-{number + 1}"
+            path = directory / f"{name}.json"
+            path.write_text(json.dumps(_settings(name, zone, own, store)))
+            self.instances.append(
+                Instance(
+                    name,
+                    path,
+                    (own[0], own[1], own[2], own[3]),
+                    directory / f"{name}.log",
+                )
+            )
+
+    def start(self, instance: Instance) -> None:
+        """Starts the process of an instance."""
+        with instance.log.open("ab") as log:
+            instance.process = subprocess.Popen(
+                [sys.executable, "-m", "quetzalgauge.node"],
+                env={
+                    **os.environ,
+                    ingress.SETTINGS_VARIABLE: str(instance.settings),
+                },
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def start_all(self) -> None:
+        """Starts all processes and waits until they are ready."""
+        for instance in self.instances:
+            self.start(instance)
+        for instance in self.instances:
+            self.wait_ready(instance)
+
+    def wait_ready(self, instance: Instance) -> None:
+        """Waits until an instance welcomes callers.
+
+        Raises:
+            exceptions.PlatformError: It does not in time.
+        """
+        until = time.monotonic() + READY_SECONDS
+        while not instance.is_ready():
+            if time.monotonic() > until:
+                raise exceptions.PlatformError(
+                    f"{instance.name} is not ready:\n"
+                    f"{instance.log.read_text()[-2000:]}"
+                )
+            time.sleep(_POLL_SECONDS)
+
+    def stop(self, instance: Instance) -> int:
+        """Stops a process gracefully; returns its exit status."""
+        if instance.process is None:
+            return 0
+        instance.signal(signal.SIGTERM)
+        try:
+            status = instance.process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            instance.process.kill()
+            status = instance.process.wait()
+        instance.process = None
+        return status
+
+    def kill(self, instance: Instance) -> None:
+        """Kills a process."""
+        if instance.process is not None:
+            instance.process.kill()
+            instance.process.wait()
+            instance.process = None
+
+    def kill_all(self) -> None:
+        """Kills all processes."""
+        for instance in self.instances:
+            self.kill(instance)
+
+
+def _settings(
+    name: str, zone: str, ports: tuple[int, ...], store: str
+) -> dict[str, Any]:
+    listen, ready, link, operator = ports
+    return {
+        "instance": name,
+        "availability_zone": zone,
+        "listen": f"127.0.0.1:{listen}",
+        "ready_listen": f"127.0.0.1:{ready}",
+        "link_listen": f"127.0.0.1:{link}",
+        "operator_listen": f"127.0.0.1:{operator}",
+        "store": store,
+        "memory_mb": 300,
+        "max_descriptors": 4000,
+        "retry_ratio": 0.2,
+        "retry_slack": 52,
+        "retry_window_s": 10,
+        "lease_ms": 3000,
+        "stop_time_s": 8,
+    }
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
--- /dev/null
+++ b/src/quetzalgauge/standin_site.py
@@ -0,0 +1,747 @@
+"""The users' platform in one process: store, model engines, plain services.
+
+It speaks the formats of the platform's pages, so its names are the platform's
+own. It serves tests, the demo and the fault soak.
+"""
+
+import base64
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import itertools
+import json
+import struct
+import threading
+import time
+from typing import Any
+
+from quetzalgauge import settings
+from quetzalgauge import standin_http
+
+STEP_SECONDS = 0.005
+EVENT_TOKENS = 6
+UNLOAD_SECONDS = 0.05
+ADAPTER_SECONDS = 0.01
+REPORT_LAG_SECONDS = 0.1
+HEARTBEAT_SECONDS = 0.6
+SILENT_HEARTBEATS = 3
+_POLL_SECONDS = 0.02
+_LENGTH = struct.Struct(">I")
+_READ_HEAD = struct.Struct(">QQ")
+
+
+# ---- The store -------------------------------------------------------------
+
+
+class Store:
+    """A log with keyed topics and groups; loses nothing."""
+
+    def __init__(self, threads: int = 48) -> None:
+        self._lock = threading.Condition()
+        self._topics: dict[str, list[tuple[str, bytes]]] = {}
+        self._first: dict[str, int] = {}
+        self._groups: dict[str, _Group] = {}
+        self.calls = 0
+        loopback = settings.Address(host="127.0.0.1", port=0)
+        self.server = standin_http.Server(
+            loopback, threads, self._handle, lambda: {"calls": self.calls}
+        )
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Writes a record as the operator or a target would."""
+        with self._lock:
+            self._topics.setdefault(topic, []).append((key, value))
+            self._lock.notify_all()
+
+    def newest(self, topic: str) -> dict[str, bytes]:
+        """Returns the newest value of each key."""
+        with self._lock:
+            return _newest(self._topics.get(topic, []))
+
+    def forget_history(self, topic: str) -> None:
+        """Drops old records; the newest of each key stays readable."""
+        with self._lock:
+            self._first[topic] = len(self._topics.get(topic, []))
+
+    def deal_anew(self) -> None:
+        """Takes all seats away at once, without any request."""
+        with self._lock:
+            for group in self._groups.values():
+                group.deal_anew()
+
+    def _handle(self, request: standin_http.Request) -> standin_http.Response:
+        self.calls += 1
+        handler = {
+            "/log-read": self._read,
+            "/log-newest": self._read_newest,
+            "/log-append": self._append,
+            "/log-join": self._join,
+            "/log-leave": self._leave,
+            "/log-owners": self._owners,
+        }.get(request.path)
+        if handler is None:
+            return standin_http.make_json_response(404, {})
+        return handler(request)
+
+    def _read(self, request: standin_http.Request) -> standin_http.Response:
+        topic = request.query["topic"]
+        position = int(request.query["from"])
+        until = time.monotonic() + int(request.query.get("wait_ms", 0)) / 1000
+        with self._lock:
+            first = self._first.get(topic, 0)
+            if position < first:
+                return standin_http.make_json_response(410, {"first": first})
+            while True:
+                rows = self._topics.get(topic, [])
+                left = until - time.monotonic()
+                stopping = self.server.stopping.is_set()
+                if len(rows) > position or left <= 0 or stopping:
+                    break
+                if request.is_disconnected():
+                    break
+                self._lock.wait(min(left, 0.1))
+            data = _READ_HEAD.pack(len(rows), first)
+            for key, value in rows[position:]:
+                record = bytes([len(key)]) + key.encode() + value
+                data += _LENGTH.pack(len(record)) + record
+        return standin_http.Response(
+            200, [data], {"Content-Length": str(len(data))}
+        )
+
+    def _read_newest(
+        self, request: standin_http.Request
+    ) -> standin_http.Response:
+        with self._lock:
+            rows = self._topics.get(request.query["topic"], [])
+            newest = sorted(_newest(rows).items())
+            end = len(rows)
+        after = request.query.get("after", "")
+        left = [(key, value) for key, value in newest if key > after]
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": 0,
+            }
+            for key, value in left[:50]
+        ]
+        return standin_http.make_json_response(
+            200, {"items": items, "more": len(left) > 50, "end": end}
+        )
+
+    def _append(self, request: standin_http.Request) -> standin_http.Response:
+        topic = request.query["topic"]
+        if topic in ("keyed.op", "keyed.servers"):
+            return standin_http.make_json_response(403, {})
+        with self._lock:
+            rows = self._topics.setdefault(topic, [])
+            at = request.query.get("at")
+            if at is not None and int(at) != len(rows):
+                return standin_http.make_json_response(412, {"end": len(rows)})
+            offset = len(rows)
+            data = request.body
+            place = 0
+            while place < len(data):
+                (length,) = _LENGTH.unpack_from(data, place)
+                record = data[place + 4 : place + 4 + length]
+                place += 4 + length
+                key = record[1 : 1 + record[0]].decode()
+                rows.append((key, record[1 + record[0] :]))
+            self._lock.notify_all()
+            return standin_http.make_json_response(
+                200, {"offset": offset, "end": len(rows)}
+            )
+
+    def _join(self, request: standin_http.Request) -> standin_http.Response:
+        row = request.json()
+        with self._lock:
+            group = self._groups.setdefault(row["group"], _Group())
+            has_seat = group.join(row["member"], row["ttl_ms"] / 1000)
+            parts = [[row["topics"][0], 0, 0]] if has_seat else []
+            return standin_http.make_json_response(
+                200,
+                {
+                    "generation": group.generation,
+                    "ttl_ms": row["ttl_ms"],
+                    "parts": parts,
+                },
+            )
+
+    def _leave(self, request: standin_http.Request) -> standin_http.Response:
+        row = request.json()
+        with self._lock:
+            group = self._groups.setdefault(row["group"], _Group())
+            group.leave(row["member"])
+        return standin_http.make_json_response(200, {})
+
+    def _owners(self, request: standin_http.Request) -> standin_http.Response:
+        name = request.query["group"]
+        with self._lock:
+            group = self._groups.setdefault(name, _Group())
+            group.expire()
+            parts = [[name, 0, group.owner, 0]] if group.owner else []
+            return standin_http.make_json_response(
+                200, {"generation": group.generation, "parts": parts}
+            )
+
+
+def _newest(rows: list[tuple[str, bytes]]) -> dict[str, bytes]:
+    found: dict[str, bytes] = {}
+    for key, value in rows:
+        if value:
+            found[key] = value
+        else:
+            found.pop(key, None)
+    return found
+
+
+class _Group:
+    """Members of a group; the first one has the only partition."""
+
+    def __init__(self) -> None:
+        self.generation = 0
+        self.owner: str | None = None
+        self._members: dict[str, float] = {}
+
+    def join(self, member: str, silence: float) -> bool:
+        self.expire()
+        if member not in self._members:
+            self.generation += 1
+        self._members[member] = time.monotonic() + silence
+        if self.owner is None:
+            self.owner = member
+        return self.owner == member
+
+    def leave(self, member: str) -> None:
+        if self._members.pop(member, None) is not None:
+            self.generation += 1
+        if self.owner == member:
+            self.owner = next(iter(self._members), None)
+
+    def expire(self) -> None:
+        now = time.monotonic()
+        for member, until in list(self._members.items()):
+            if until < now:
+                self.leave(member)
+
+    def deal_anew(self) -> None:
+        self.generation += 1
+        others = [one for one in self._members if one != self.owner]
+        if others:
+            self.owner = others[0]
+
+
+# ---- Targets ---------------------------------------------------------------
+
+
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """What a target has seen, for the checks of a test.
+
+    Attributes:
+        runs: How often each request began to run, by its id.
+        arrivals: Requests that arrived, run or not.
+        orders: Holder, token and time of each order.
+        broken: Rules that were broken.
+    """
+
+    runs: dict[str, int] = dataclasses.field(default_factory=dict)
+    arrivals: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    orders: list[tuple[float, str, int]] = dataclasses.field(
+        default_factory=list
+    )
+    broken: list[str] = dataclasses.field(default_factory=list)
+
+
+class Target:
+    """What model engines and plain services have in common.
+
+    Args:
+        name: The target's id.
+        service: Its service.
+        zone: Its zone.
+        slots: Requests that it runs at once.
+    """
+
+    def __init__(self, name: str, service: str, zone: str, slots: int) -> None:
+        self.name = name
+        self.counts = Counts()
+        self.leaving = False
+        self._service = service
+        self._zone = zone
+        self._slots = slots
+        self._born = int(time.time() * 1000)
+        self._running = 0
+        self.lock = threading.Lock()
+        loopback = settings.Address(host="127.0.0.1", port=0)
+        self.server = standin_http.Server(
+            loopback, slots + 40, self._handle, self.count
+        )
+
+    def count(self) -> dict[str, Any]:
+        """Returns the counts as JSON values."""
+        with self.lock:
+            return {
+                "runs": dict(self.counts.runs),
+                "broken": list(self.counts.broken),
+            }
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the entry in the register."""
+        return {
+            "service": self._service,
+            "address": str(self.server.address),
+            "zone": self._zone,
+            "version": "v1",
+            "slots": self._slots,
+            "state": "draining" if self.leaving else "ready",
+            "seq": 1,
+            "cold_left_ms": 0,
+            "born": self._born,
+        }
+
+    def _handle(self, request: standin_http.Request) -> standin_http.Response:
+        expected = request.headers.get("expect-instance", self.name)
+        if expected != self.name:
+            return self._decline(request, 421)
+        return self._serve(request)
+
+    def _serve(self, request: standin_http.Request) -> standin_http.Response:
+        begun = self._begin(request)
+        if begun is not None:
+            return begun
+        try:
+            time.sleep(2 * STEP_SECONDS)
+            body = json.dumps(
+                {"path": request.path, "bytes": len(request.body)}
+            ).encode()
+            return standin_http.Response(
+                200,
+                [body],
+                {
+                    "Content-Length": str(len(body)),
+                    **self._signed(request),
+                },
+            )
+        finally:
+            self._end()
+
+    def _begin(
+        self, request: standin_http.Request
+    ) -> standin_http.Response | None:
+        """Counts a request that begins to run; an answer if it does not."""
+        request_id = request.headers.get("request-id", "")
+        with self.lock:
+            self.counts.arrivals.append((time.monotonic(), request_id))
+            if self._running >= self._slots:
+                return self._decline(request, 503)
+            self._running += 1
+            runs = self.counts.runs
+            runs[request_id] = runs.get(request_id, 0) + 1
+        if int(request.headers.get("deadline-ms", "0")) <= 0:
+            self.counts.broken.append(f"{request_id}: no deadline")
+        return None
+
+    def _end(self) -> None:
+        with self.lock:
+            self._running -= 1
+
+    def _decline(
+        self, request: standin_http.Request, status: int
+    ) -> standin_http.Response:
+        return standin_http.Response(
+            status,
+            [],
+            {
+                "Not-Run": "1",
+                "Instance-Id": self.name,
+                "Request-Id": request.headers.get("request-id", ""),
+                "Content-Length": "0",
+            },
+        )
+
+    def _signed(self, request: standin_http.Request) -> dict[str, str]:
+        request_id = request.headers.get("request-id", "")
+        return {
+            "Request-Id": request_id,
+            "Response-Stamp": f"{self.name}.{request_id}",
+        }
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelFigures:
+    """A model of the stand-in: memory in MB and load times in seconds."""
+
+    size_mb: float = 60_000.0
+    store_s: float = 1.5
+    disk_s: float = 0.3
+    memory_s: float = 0.2
+    adapters: int = 0
+
+
+class Engine(Target):
+    """A model engine.
+
+    Args:
+        name: The target's id.
+        service: Its service.
+        zone: Its zone.
+        models: The models that it may load.
+        loaded: What it holds at the start.
+        on_disk: Copies on its disk at the start.
+    """
+
+    MEMORY_MB = 200_000.0
+    ADAPTER_SLOTS = 8
+    SLOTS = 16
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        models: dict[str, ModelFigures],
+        loaded: list[str],
+        on_disk: list[str],
+    ) -> None:
+        super().__init__(name, service, zone, self.SLOTS)
+        self._models = models
+        self._loaded: dict[str, set[str]] = {model: set() for model in loaded}
+        self._closing: set[str] = set()
+        self._runs_of: dict[str, int] = {}
+        self._memory: list[str] = []
+        self._disk = list(dict.fromkeys([*on_disk, *loaded]))
+        self._busy = False
+        self._taken = 0
+        self._history: list[tuple[float, dict[str, Any]]] = []
+        self._note()
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the entry in the register."""
+        with self.lock:
+            return {
+                **super().describe(),
+                "stage": "both",
+                "models": self._rows(),
+                "at_hand": {"in_memory": self._memory, "on_disk": self._disk},
+            }
+
+    def _serve(self, request: standin_http.Request) -> standin_http.Response:
+        if request.path == "/report":
+            return standin_http.make_json_response(200, self._report())
+        if request.path == "/order":
+            return self._take_order(request)
+        model, _, adapter = request.headers.get("model", "").partition("/")
+        with self.lock:
+            if model not in self._loaded:
+                return self._decline(request, 421)
+            if model in self._closing:
+                return self._decline(request, 503)
+            if adapter and adapter not in self._loaded[model]:
+                return self._decline(request, 421)
+        begun = self._begin(request)
+        if begun is not None:
+            return begun
+        with self.lock:
+            self._runs_of[model] = self._runs_of.get(model, 0) + 1
+        done = threading.Event()
+
+        def finish() -> None:
+            if not done.is_set():
+                done.set()
+                with self.lock:
+                    self._runs_of[model] -= 1
+                self._end()
+
+        return standin_http.Response(
+            200,
+            standin_http.Body(self._events(request), finish),
+            {
+                "Content-Type": "text/event-stream",
+                "Weight-Versions": "1",
+                **self._signed(request),
+            },
+        )
+
+    def _events(self, request: standin_http.Request) -> Iterator[bytes]:
+        request_id = request.headers.get("request-id", "")
+        counts = request.headers.get("token-counts", "1,30").split(",")
+        last = max(1, int(counts[1]) // EVENT_TOKENS)
+        begun = int(request.headers.get("last-event-id") or 0)
+        for number in range(begun + 1, last + 1):
+            time.sleep(STEP_SECONDS * EVENT_TOKENS if number > 1 else 0.01)
+            yield f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
+
+    # ---- Orders
+
+    def _take_order(
+        self, request: standin_http.Request
+    ) -> standin_http.Response:
+        row = request.json()
+        with self.lock:
+            self.counts.orders.append(
+                (time.monotonic(), row["holder"], row["fencing_token"])
+            )
+            status = self._carry_out(row)
+        return standin_http.make_json_response(status, {})
+
+    def _carry_out(self, row: dict[str, Any]) -> int:
+        if self._busy or row.get("expect", self._taken) != self._taken:
+            return 409
+        model, adapter = row["model"], row.get("adapter")
+        if model not in self._models:
+            return 400
+        if adapter is not None:
+            return self._adapter_order(row["operation"], model, adapter)
+        if (row["operation"] == "load") == (model in self._loaded):
+            return 200
+        self._taken += 1
+        self._busy = True
+        if row["operation"] == "load":
+            self._begin_load(model)
+        else:
+            self._closing.add(model)
+            self._after(UNLOAD_SECONDS, lambda: self._unloaded(model))
+        self._note()
+        return 202
+
+    def _adapter_order(self, operation: str, model: str, adapter: str) -> int:
+        held = self._loaded.get(model)
+        if held is None:
+            return 400
+        if (operation == "load") == (adapter in held):
+            return 200
+        self._taken += 1
+        if operation == "unload":
+            held.discard(adapter)
+            self._note()
+            return 200
+        if sum(len(one) for one in self._loaded.values()) >= self.ADAPTER_SLOTS:
+            self.counts.broken.append(f"{self.name}: too many adapters")
+        held.add(adapter)
+        self._note()
+        return 202
+
+    def _begin_load(self, model: str) -> None:
+        used = sum(self._models[one].size_mb for one in self._loaded)
+        if used + self._models[model].size_mb > self.MEMORY_MB:
+            self.counts.broken.append(f"{self.name}: out of memory")
+        figures = self._models[model]
+        seconds = figures.store_s
+        if model in self._memory:
+            seconds = figures.memory_s
+        elif model in self._disk:
+            seconds = figures.disk_s
+        self._after(seconds, lambda: self._load_done(model))
+
+    def _load_done(self, model: str) -> bool:
+        self._loaded[model] = set()
+        self._memory = [one for one in self._memory if one != model][-1:]
+        self._memory.append(model)
+        self._disk = [one for one in self._disk if one != model][-10:]
+        self._disk.append(model)
+        return True
+
+    def _unloaded(self, model: str) -> bool:
+        if self._runs_of.get(model, 0):
+            return False
+        self._closing.discard(model)
+        self._loaded.pop(model, None)
+        return True
+
+    def _after(self, seconds: float, finish: Callable[[], bool]) -> None:
+        def run() -> None:
+            time.sleep(seconds)
+            while not self.server.stopping.is_set():
+                with self.lock:
+                    if finish():
+                        self._busy = False
+                        self._note()
+                        return
+                time.sleep(_POLL_SECONDS)
+
+        threading.Thread(target=run, daemon=True).start()
+
+    # ---- Reports
+
+    def _rows(self) -> list[dict[str, Any]]:
+        return [
+            {"name": model, "version": 1, "adapters": sorted(adapters)}
+            for model, adapters in self._loaded.items()
+        ]
+
+    def _note(self) -> None:
+        status = {
+            "stage": "both",
+            "models": self._rows(),
+            "at_hand": {
+                "in_memory": list(self._memory),
+                "on_disk": list(self._disk),
+            },
+            "busy": self._busy,
+            "seq": self._taken,
+            "queued": 0,
+            "running": self._running,
+            "coming": [],
+            "born": self._born,
+        }
+        self._history.append((time.monotonic(), status))
+        del self._history[:-100]
+
+    def _report(self) -> dict[str, Any]:
+        then = time.monotonic() - REPORT_LAG_SECONDS
+        with self.lock:
+            old = [status for at, status in self._history if at <= then]
+            return old[-1] if old else self._history[0][1]
+
+
+# ---- The site --------------------------------------------------------------
+
+ENGINE_SERVICE = "engines"
+PLAIN_SERVICE = "desk"
+HOST = "site.example"
+
+
+def make_configuration(
+    models: dict[str, ModelFigures], version: int = 1
+) -> dict[str, Any]:
+    """Returns a configuration with a route of each kind."""
+
+    def route(name: str, kind: str, service: str, **more: Any) -> Any:
+        row = {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 10_000,
+            "target_latency_ms": 500,
+            "priority": 1,
+            "service": service,
+            "attempts": 2,
+        }
+        return {**row, **more}
+
+    return {
+        "version": version,
+        "routes": [
+            route("live", "stream", ENGINE_SERVICE, can_resume=True),
+            route("rare", "stream", ENGINE_SERVICE, attempts=1),
+            route("look", "safe", PLAIN_SERVICE, timeout_ms=2000),
+            route("book", "unsafe", PLAIN_SERVICE, attempts=1),
+        ],
+        "services": [
+            {
+                "name": ENGINE_SERVICE,
+                "max_conns": 200,
+                "engine": {
+                    "slots": Engine.SLOTS,
+                    "kv_capacity": 100_000,
+                    "host_mb": 140_000.0,
+                    "disk_mb": 700_000.0,
+                    "models": [
+                        {
+                            "name": name,
+                            "model_size": one.size_mb,
+                            "load_s": one.store_s,
+                            "disk_s": one.disk_s,
+                            "warm_s": one.memory_s,
+                            "adapters": one.adapters,
+                            "adapter_mb": 40.0,
+                        }
+                        for name, one in models.items()
+                    ],
+                    "model_size": Engine.MEMORY_MB,
+                    "adapter_slots": Engine.ADAPTER_SLOTS,
+                    "loads_per_s": 4.0,
+                },
+            },
+            {"name": PLAIN_SERVICE, "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 65_536,
+            "header_timeout_ms": 1000,
+            "idle_timeout_ms": 5000,
+        },
+    }
+
+
+class Site:
+    """Store, engines and plain services, with their heartbeats.
+
+    Args:
+        zones: The zones, each with two engines and one plain service.
+        models: The models.
+    """
+
+    def __init__(
+        self, zones: list[str], models: dict[str, ModelFigures]
+    ) -> None:
+        self.store = Store()
+        self.models = models
+        self.targets: dict[str, Target] = {}
+        self._stopped = threading.Event()
+        names = itertools.cycle(models)
+        for zone in zones:
+            for number in (1, 2):
+                name = f"e-{zone}-{number}"
+                loaded = list(dict.fromkeys([next(names), next(names)]))
+                self.targets[name] = Engine(
+                    name, ENGINE_SERVICE, zone, models, loaded, list(models)
+                )
+            name = f"p-{zone}"
+            self.targets[name] = Target(name, PLAIN_SERVICE, zone, 8)
+
+    def start(self) -> None:
+        """Starts everything and writes the first configuration."""
+        self.store.server.start()
+        for target in self.targets.values():
+            target.server.start()
+        self.write_configuration(make_configuration(self.models))
+        threading.Thread(target=self._beat, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stops everything."""
+        self._stopped.set()
+        for target in self.targets.values():
+            target.server.stop()
+        self.store.server.stop()
+
+    def write_configuration(self, value: dict[str, Any]) -> None:
+        """Writes a configuration as the operator would."""
+        self.store.put("keyed.op", "config", json.dumps(value).encode())
+
+    def remove(self, name: str) -> None:
+        """Ends a target without notice."""
+        target = self.targets.pop(name)
+        target.server.stop()
+        self.store.put("keyed.servers", name, b"")
+
+    def broken_rules(self) -> list[str]:
+        """Returns what the targets have seen and must never see."""
+        found = []
+        for target in self.targets.values():
+            found += target.counts.broken
+            found += _turns_taken(target)
+        return found
+
+    def _beat(self) -> None:
+        written: dict[str, bytes] = {}
+        while not self._stopped.wait(HEARTBEAT_SECONDS / 6):
+            for name, target in list(self.targets.items()):
+                value = json.dumps(target.describe()).encode()
+                if written.get(name) != value:
+                    written[name] = value
+                    self.store.put("keyed.servers", name, value)
+
+
+def _turns_taken(target: Target, lease: float = 3.0) -> list[str]:
+    """Returns orders of two holders within the lease time."""
+    found = []
+    orders = target.counts.orders
+    for before, after in itertools.pairwise(orders):
+        if before[1] == after[1]:
+            continue
+        if after[0] - before[0] < lease or after[2] <= before[2]:
+            found.append(f"{target.name}: {before} then {after}")
+    return found
--- a/tests/core_samples.py
+++ b/tests/core_samples.py
@@ -215,8 +215,9 @@
     )
 
 
-def make_stock(name="t1", models=(), disk=(), engine=None, now=seconds(90)):
+def make_stock(name="t1", models=(), disk=(), engine=None, now=None):
     """Returns the ledger of a target whose first report was read."""
+    now = now or seconds(90)
     one = stock.Stock(
         make_target(name, ENGINES, slots=48, models=models, disk=disk),
         engine or make_engine(MODELS),
