Load further replicas of crowded models and weigh busy victims

Change: a model whose emptiest target is over 0.6 full may get further replicas, and its last ones are dearer to unload; busy models are weighed also when every request for them is refused; a running victim counts 3 s; reports are sent at once when the last run of a model ends; plans stay until the load is accepted; replicas seen at the start count as demand when they appear. Requests note their first part and their longest gap.

--- a/idl/exchange.thrift
+++ b/idl/exchange.thrift
@@ -35,6 +35,7 @@
   1: string model,
   2: i32 ready_in,
   3: bool closing,
+  4: bool planned,
 }
 
 struct AdapterView {
--- a/src/quetzalgauge/core/demand.py
+++ b/src/quetzalgauge/core/demand.py
@@ -4,6 +4,7 @@
 turns. Rates tell the two apart; the wishes tell what is wanted right now.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
@@ -17,6 +18,8 @@
 RATE_TIME = datetime.timedelta(seconds=4)
 # Rate assumed of a model before any request: each may be asked for.
 PRIOR_RATE = 0.1
+# The same of a model that has adapters.
+PRIOR_ADAPTERS_RATE = 0.4
 # The prior rate weighs as much as requests over this time.
 PRIOR_SECONDS = 1.0
 # The same of a model that a target, or several, held from the start.
@@ -82,6 +85,7 @@
         self._arrivals = _Rates()
         self._adapter_arrivals = _Rates()
         self._priors: dict[ids.ModelName, float] = {}
+        self._with_adapters: frozenset[ids.ModelName] = frozenset()
 
     @property
     def instances(self) -> int:
@@ -111,12 +115,21 @@
         ]:
             del self._heard[instance]
 
-    def use_prior(self, replicas: Mapping[ids.ModelName, int]) -> None:
-        """Takes the replicas of each model before any request.
-
-        What is loaded already was wanted by somebody, and models on several
-        targets are busy.
+    def use_prior(
+        self,
+        replicas: Mapping[ids.ModelName, int],
+        with_adapters: Collection[ids.ModelName],
+    ) -> None:
+        """Takes what is known of models before any request.
+
+        Args:
+            replicas: Targets that held each model when they were first seen.
+                What is loaded already was wanted by somebody, and models on
+                several targets are busy.
+            with_adapters: Models that have adapters. Somebody made those for
+                callers of their own, so these models come into use more often.
         """
+        self._with_adapters = frozenset(with_adapters)
         for model, count in replicas.items():
             self._priors[model] = (
                 PRIOR_BUSY_RATE if count > 1 else PRIOR_LOADED_RATE
@@ -125,10 +138,20 @@
     def rate(self, model: ids.ModelName, now: datetime.timedelta) -> float:
         """Returns requests a second for a model, over all instances."""
         prior = PRIOR_RATE
+        if model in self._with_adapters:
+            prior = PRIOR_ADAPTERS_RATE
         if not self._arrivals.is_settled(now):
-            prior = self._priors.get(model, PRIOR_RATE)
+            prior = max(prior, self._priors.get(model, 0.0))
         return prior + self._arrivals.rate(model, now)
 
+    def busy_models(
+        self, limit: float, now: datetime.timedelta
+    ) -> tuple[ids.ModelName, ...]:
+        """Returns the models that are asked for more often than a limit."""
+        return tuple(
+            one for one in self._arrivals if self.rate(one, now) >= limit
+        )
+
     def rare_rate(self, limit: float, now: datetime.timedelta) -> float:
         """Returns requests a second for all models below a rate."""
         rates = (self._arrivals.rate(one, now) for one in self._arrivals)
--- a/src/quetzalgauge/core/exchange.py
+++ b/src/quetzalgauge/core/exchange.py
@@ -81,11 +81,13 @@
         ready_in: Zero or less when it takes requests, otherwise the expected
             time until then.
         closing: Whether it takes no new requests.
+        planned: Whether room for it is still being made.
     """
 
     model: ids.ModelName
     ready_in: datetime.timedelta
     closing: bool = False
+    planned: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -42,6 +42,7 @@
     received: datetime.timedelta
     ready_at: dict[ids.ModelName, datetime.timedelta]
     closing: frozenset[ids.ModelName]
+    planned: frozenset[ids.ModelName]
     adapters: dict[tuple[ids.ModelName, ids.AdapterName], datetime.timedelta]
     free_at: datetime.timedelta
     running: int
@@ -95,6 +96,12 @@
         _add(self._own, target, change)
         _add(self._own_models, (target, model, adapter), change)
 
+    def runs(self, target: ids.TargetId, model: ids.ModelName) -> bool:
+        """Whether this instance has requests for a model on a target."""
+        return any(
+            key[0] == target and key[1] == model for key in self._own_models
+        )
+
     def own_running(self, target: ids.TargetId) -> int:
         """Returns this instance's requests in progress on a target."""
         return self._own.get(target, 0)
@@ -151,6 +158,7 @@
                 now,
                 {one.model: now + one.ready_in for one in view.replicas},
                 frozenset(one.model for one in view.replicas if one.closing),
+                frozenset(one.model for one in view.replicas if one.planned),
                 {
                     (one.model, one.adapter): now + one.ready_in
                     for one in view.adapters
@@ -207,7 +215,7 @@
         return [
             one
             for one in self.usable(service, now)
-            if self._has(one, model, now)
+            if self.serves(one, model, now)
         ]
 
     def holds(
@@ -215,20 +223,42 @@
         one: targets.Description,
         model: ids.ModelName,
         now: datetime.timedelta,
+        soon: datetime.timedelta = datetime.timedelta.max,
     ) -> bool:
-        """Whether a target has a model or is loading it."""
+        """Whether a target has a model or is loading it.
+
+        Args:
+            one: The target.
+            model: The model.
+            now: The time.
+            soon: A load that ends later does not count. If it is given, a
+                load that is only planned does not count either.
+        """
         view = self._current_view(one, now)
         if view is None:
             return any(loaded.name == model for loaded in one.models)
-        return model in view.ready_at and model not in view.closing
+        ready = view.ready_at.get(model)
+        if ready is None or model in view.closing:
+            return False
+        if soon == datetime.timedelta.max:
+            return True
+        return ready <= soon and model not in view.planned
 
-    def count_loaded(self) -> dict[ids.ModelName, int]:
-        """Returns the number of targets with each model, by the register."""
-        counts: dict[ids.ModelName, int] = {}
-        for one in self.directory:
-            for loaded in one.models:
-                counts[loaded.name] = counts.get(loaded.name, 0) + 1
-        return counts
+    def serves(
+        self,
+        one: targets.Description,
+        model: ids.ModelName,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Whether a target takes requests for a model now."""
+        denied = self._denied.get((one.target, model, None))
+        if denied is not None and now < denied:
+            return False
+        view = self._current_view(one, now)
+        if view is None:
+            return any(loaded.name == model for loaded in one.models)
+        ready = view.ready_at.get(model)
+        return ready is not None and ready <= now and model not in view.closing
 
     def busy_until(
         self, one: targets.Description, now: datetime.timedelta
@@ -371,21 +401,6 @@
             return None
         return self._view(one.target)
 
-    def _has(
-        self,
-        one: targets.Description,
-        model: ids.ModelName,
-        now: datetime.timedelta,
-    ) -> bool:
-        denied = self._denied.get((one.target, model, None))
-        if denied is not None and now < denied:
-            return False
-        view = self._current_view(one, now)
-        if view is None:
-            return any(loaded.name == model for loaded in one.models)
-        ready = view.ready_at.get(model)
-        return ready is not None and ready <= now and model not in view.closing
-
 
 def load_time(
     model: configuration.Model, copies: targets.Copies
--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -94,6 +94,8 @@
     cancelled: bool = False
     holds_answer: bool = False
     last_event: str = ""
+    first_part_at: datetime.timedelta | None = None
+    longest_gap: datetime.timedelta = _ZERO
     ran_on: set[ids.TargetId] = dataclasses.field(default_factory=set)
     avoided: set[ids.TargetId] = dataclasses.field(default_factory=set)
     failures: list[requests.Failure] = dataclasses.field(default_factory=list)
@@ -459,7 +461,7 @@
         call.phase = _Phase.SENT
         call.sent_at = now
         self._fleet.count(one.target, call.head.model, call.head.adapter, 1)
-        self._wishes.note_running()
+        self._wishes.note_running(is_idle=False)
         may_repeat = self._may_run_again(call, one, now)
         first_by = patience.first_part_by(
             route,
@@ -658,7 +660,10 @@
         self._fleet.count(
             call.target.target, call.head.model, call.head.adapter, -1
         )
-        self._wishes.note_running()
+        self._wishes.note_running(
+            is_idle=call.head.model is not None
+            and not self._fleet.runs(call.target.target, call.head.model)
+        )
         call.phase = _Phase.WAITING
 
     # ---- Attempts
@@ -671,6 +676,7 @@
             return []
         assert call.target is not None
         call.started = True
+        call.first_part_at = now
         self._fleet.health.note_success(
             call.target.target, now - call.sent_at, now
         )
@@ -684,6 +690,7 @@
         if call.phase is not _Phase.SENT or one is None:
             return []
         self._leave_target(call)
+        call.longest_gap = max(call.longest_gap, event.longest_gap)
         if event.failure is None:
             return self._succeeded(call, one, event, now)
         call.failures.append(event.failure)
@@ -899,6 +906,12 @@
                     "adapter": call.head.adapter,
                     "tries": call.sends,
                     "failures": [one.value for one in call.failures],
+                    "first_part_ms": (
+                        None
+                        if call.first_part_at is None
+                        else _milliseconds(call.first_part_at - call.arrived)
+                    ),
+                    "longest_gap_ms": _milliseconds(call.longest_gap),
                     "took_ms": _milliseconds(now - call.arrived),
                     "configuration": call.version,
                 },
--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -82,6 +82,8 @@
         self._counts_at = _ZERO
         self._review_at = _ZERO
         self._spares_at = _ZERO
+        self._seen: set[ids.TargetId] = set()
+        self._placed: dict[ids.ModelName, int] = {}
         self._again: list[orders.Order] = []
         self._notes: list[notes.Note] = []
 
@@ -144,8 +146,7 @@
         """Follows the targets of the zone."""
         if self._config is None:
             return
-        if self._fleet.directory.is_complete and not self._stocks:
-            self._demand.use_prior(self._fleet.count_loaded())
+        self._note_placed()
         present = {}
         for one in self._fleet.directory:
             service = self._config.services.get(one.service)
@@ -166,6 +167,30 @@
             del self._stocks[target]
             self._intents.pop(target, None)
 
+    def _note_placed(self) -> None:
+        """Counts what targets hold when they are first seen.
+
+        Targets appear one after the other when all start together.
+        """
+        for one in self._fleet.directory:
+            if one.target in self._seen:
+                continue
+            self._seen.add(one.target)
+            for loaded in one.models:
+                count = self._placed.get(loaded.name, 0) + 1
+                self._placed[loaded.name] = count
+        self._demand.use_prior(self._placed, self._with_adapters())
+
+    def _with_adapters(self) -> set[ids.ModelName]:
+        assert self._config is not None
+        return {
+            model.name
+            for service in self._config.services.values()
+            if service.engine is not None
+            for model in service.engine.models.values()
+            if model.adapters
+        }
+
     def use_answer(
         self, event: orders.Answered, now: datetime.timedelta
     ) -> None:
@@ -265,11 +290,13 @@
         for target, intent in list(self._intents.items()):
             one = self._stocks.get(target)
             choice = intent.choice
-            is_over = now > intent.until or one is None
-            if is_over or (one is not None and choice.model in one.replicas):
+            if (
+                one is None
+                or now > intent.until
+                or (one.order is None and choice.model in one.replicas)
+            ):
                 del self._intents[target]
                 continue
-            assert one is not None
             spec = one.engine.models.get(choice.model)
             wanted = choice.why != "waiting" or choice.model in scene.wishes
             if not wanted or spec is None:
@@ -309,16 +336,26 @@
         return placement.Scene(
             tuple(self._stocks.values()),
             self._demand.wishes(),
+            self._demand.busy_models(placement.BUSY_RATE, now),
             lambda model: self._demand.rate(model, now),
             self._demand.running(),
             lambda model: self._count_elsewhere(model, now),
             self._count_copies,
+            lambda model: self._crowding(model, now),
             lambda model: self._demand.adapter_rate(model, now),
             lambda target, model: self._is_guard(target, model, now),
             self._store_allowance(now),
             self._pressure(now),
         )
 
+    def _crowding(self, model: ids.ModelName, now: datetime.timedelta) -> float:
+        shares = [
+            self._fleet.load(one.target) / max(1, one.slots)
+            for one in self._fleet.directory
+            if not one.leaving and self._fleet.holds(one, model, now)
+        ]
+        return min(shares, default=0.0)
+
     def _pressure(self, now: datetime.timedelta) -> float:
         """Returns how much other loads want a target's time, from 0 to 1."""
         engines = max(1, sum(1 for _ in self._engine_targets()))
@@ -352,9 +389,14 @@
     def _count_elsewhere(
         self, model: ids.ModelName, now: datetime.timedelta
     ) -> int:
+        # A busy model that another zone only plans to load, or brings from the
+        # weight store, is served by nobody yet.
+        soon = datetime.timedelta.max
+        if self._demand.rate(model, now) >= placement.BUSY_RATE:
+            soon = now + LONG_LOAD
         return sum(
             one.availability_zone != self._zone
-            and self._fleet.holds(one, model, now)
+            and self._fleet.holds(one, model, now, soon)
             for one in self._fleet.directory
         )
 
@@ -489,6 +531,7 @@
                 exchange.ReplicaView(
                     intent.choice.model,
                     max(intent.choice.ready_at - now, stock.BUSY_PAUSE),
+                    planned=True,
                 )
             )
         return exchange.TargetView(
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -28,6 +28,11 @@
 # Expected requests over this time count for a copy brought from the weight
 # store, since later loads of that model are short.
 COPY_HORIZON_S = 15.0
+# Worth of the first, the second copy and so on, of that of the only one: the
+# target with the only copy is often busy with other models.
+COPY_SHARES = (1.0, 0.3)
+# Pressure from which on targets have no time for further copies.
+IDLE_PRESSURE = 0.1
 # A model with more requests a second than this should be loaded in each zone.
 BUSY_RATE = 1.5
 # Worth of the first replica of a busy model in a zone.
@@ -45,10 +50,12 @@
 TIME_COST = 0.3
 # Share of the requests for adapters whose adapter is not on the target.
 ADAPTER_MISSES = 0.5
+# Targets that are fuller than this share of their slots are crowded.
+CROWDED = 0.6
 # A model that was loaded a moment ago stays until its requests have come.
 SHORTEST_STAY = datetime.timedelta(milliseconds=300)
 # Usual rest of a request that is running when its model is to be unloaded.
-RUN_REST = datetime.timedelta(seconds=1)
+RUN_REST = datetime.timedelta(seconds=3)
 # A target that could do it sooner by more than this is waited for.
 WAIT_GAIN = datetime.timedelta(milliseconds=250)
 # Most models that make way for one.
@@ -64,11 +71,15 @@
     Attributes:
         stocks: The targets that the holder orders.
         wishes: For each wanted model, when its requests become late.
+        busy: Models that are asked for often, also if all requests for them
+            are refused because nobody has them.
         rate: Requests a second for a model.
         running: Requests in progress.
         elsewhere: Number of replicas of a model outside the zone.
         copies_elsewhere: Number of other targets of the region that have a
             copy of a model, besides the given one.
+        crowding: How full the emptiest target with a model is, as a share of
+            its slots.
         adapter_rate: Requests a second for adapters of a model.
         guards: Whether a target is the one of the region that stays free to
             fetch adapters of a model.
@@ -78,10 +89,12 @@
 
     stocks: Sequence[stock.Stock]
     wishes: Mapping[ids.ModelName, Sequence[datetime.timedelta]]
+    busy: Sequence[ids.ModelName]
     rate: Callable[[ids.ModelName], float]
     running: demand.RunningCounts
     elsewhere: Callable[[ids.ModelName], int]
     copies_elsewhere: Callable[[ids.ModelName, ids.TargetId], int]
+    crowding: Callable[[ids.ModelName], float]
     adapter_rate: Callable[[ids.ModelName], float]
     guards: Callable[[ids.TargetId, ids.ModelName], bool]
     store_loads: int
@@ -127,7 +140,7 @@
         spares: Whether models that nobody waits for count.
     """
     free = [one for one in scene.stocks if one.can_order(now)]
-    if not free or not (spares or scene.wishes):
+    if not free or not (spares or scene.wishes or scene.busy):
         return None
     rooms = _Rooms(scene, now)
     best: Choice | None = None
@@ -149,7 +162,8 @@
     choices = [
         choice
         for one in free
-        if (choice := _weigh(scene, rooms, one, model, now)) is not None
+        if model not in one.replicas
+        and (choice := _weigh(scene, rooms, one, model, now)) is not None
     ]
     if not choices:
         return None
@@ -181,8 +195,14 @@
 
 def _wanted(scene: Scene, spares: bool) -> list[ids.ModelName]:
     """Returns the models that are not loaded here and might be."""
-    here = {name for one in scene.stocks for name in one.replicas}
+    here = {
+        name
+        for one in scene.stocks
+        for name in one.replicas
+        if scene.crowding(name) < CROWDED
+    }
     names: dict[ids.ModelName, None] = dict.fromkeys(scene.wishes)
+    names.update(dict.fromkeys(scene.busy))
     if spares:
         for one in scene.stocks:
             names.update(dict.fromkeys(one.engine.models))
@@ -272,8 +292,8 @@
         if missing <= 0:
             break
         missing -= sizes.get(name, 0.0)
-        if not scene.copies_elsewhere(name, one.target):
-            loss += scene.rate(name) * COPY_HORIZON_S
+        share = _copy_share(scene.copies_elsewhere(name, one.target))
+        loss += scene.rate(name) * COPY_HORIZON_S * share
     return loss
 
 
@@ -286,6 +306,9 @@
 ) -> tuple[float, str]:
     """Returns what a load is worth, and what it is for."""
     waiting = scene.wishes.get(model, ())
+    if any(model in other.replicas for other in scene.stocks):
+        # What waits for a crowded model waits for a place, not for a load.
+        waiting = ()
     gain = sum(
         1.0 if late_at >= ready_at else LATE_WORTH for late_at in waiting
     )
@@ -299,15 +322,26 @@
         gain += rate * HORIZON_S
     elif is_busy:
         gain += REPLICA_WORTH / elsewhere
+        gain += rate * HORIZON_S * _crowd(scene.crowding(model))
     elif not waiting:
         return 0.0, why
-    if from_store and not scene.copies_elsewhere(model, one.target):
-        gain += rate * COPY_HORIZON_S
-        if not waiting:
+    if from_store:
+        copies = scene.copies_elsewhere(model, one.target)
+        share = _copy_share(copies)
+        if copies:
+            # A further copy is for idle time only.
+            share *= max(0.0, 1.0 - scene.pressure / IDLE_PRESSURE)
+        gain += rate * COPY_HORIZON_S * share
+        if share and not waiting:
             why = "copy"
     return gain, why
 
 
+def _copy_share(others: int) -> float:
+    """Returns what a copy is worth beside others, of what the only one is."""
+    return COPY_SHARES[others] if others < len(COPY_SHARES) else 0.0
+
+
 def _make_room(
     scene: Scene, one: stock.Stock, size_mb: float, now: datetime.timedelta
 ) -> _Room | None:
@@ -360,11 +394,21 @@
     elsewhere = scene.elsewhere(name)
     if not here and not elsewhere:
         return expected
+    # The other targets would have to take what this one does.
+    others = here + elsewhere
+    crowd = _crowd(scene.crowding(name) * (others + 1) / others)
+    if crowd:
+        return max(expected * crowd, expected * SPARE_SHARE)
     if not here and rate >= BUSY_RATE:
         return max(LAST_REPLICA_WORTH / elsewhere, expected * SPARE_SHARE)
     return expected * SPARE_SHARE
 
 
+def _crowd(share: float) -> float:
+    """Returns the share of requests that are late on targets so full."""
+    return min(1.0, max(0.0, (share - CROWDED) / (1.0 - CROWDED)))
+
+
 def _size(one: stock.Stock, names: Iterable[ids.ModelName]) -> float:
     """Returns the memory that the unload of models gives back."""
     total = 0.0
--- a/src/quetzalgauge/core/requests.py
+++ b/src/quetzalgauge/core/requests.py
@@ -98,6 +98,7 @@
             that `Relay` would pass on.
         last_event: Last event id passed on, empty if none.
         reused: The connection had served another request before.
+        longest_gap: Longest pause between two parts of the answer.
     """
 
     token: int
@@ -106,6 +107,7 @@
     holds_answer: bool = False
     last_event: str = ""
     reused: bool = False
+    longest_gap: datetime.timedelta = datetime.timedelta()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/quetzalgauge/emulation/engines.py
+++ b/src/quetzalgauge/emulation/engines.py
@@ -271,7 +271,8 @@
 
     def _start(self, run: Run) -> None:
         self.running.append(run)
-        pace = self._models[run.model].pace
+        # All models of an engine share its batch, so the slowest sets the pace.
+        pace = max(self._models[one].pace for one in self.loaded)
         step = STEP_S * pace + STEP_PER_RUN_S * len(self.running)
         # Prompts are read one after the other.
         reading = run.prompt_tokens / PROMPT_TOKENS_PER_S
--- a/src/quetzalgauge/gen/exchange/ttypes.py
+++ b/src/quetzalgauge/gen/exchange/ttypes.py
@@ -493,6 +493,7 @@
      - model
      - ready_in
      - closing
+     - planned
 
     """
 
@@ -500,13 +501,15 @@
         'model',
         'ready_in',
         'closing',
+        'planned',
     )
 
 
-    def __init__(self, model=None, ready_in=None, closing=None,):
+    def __init__(self, model=None, ready_in=None, closing=None, planned=None,):
         self.model = model
         self.ready_in = ready_in
         self.closing = closing
+        self.planned = planned
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -532,6 +535,11 @@
                     self.closing = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.planned = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -554,6 +562,10 @@
             oprot.writeFieldBegin('closing', TType.BOOL, 3)
             oprot.writeBool(self.closing)
             oprot.writeFieldEnd()
+        if self.planned is not None:
+            oprot.writeFieldBegin('planned', TType.BOOL, 4)
+            oprot.writeBool(self.planned)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1116,6 +1128,7 @@
     (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
     (2, TType.I32, 'ready_in', None, None, ),  # 2
     (3, TType.BOOL, 'closing', None, None, ),  # 3
+    (4, TType.BOOL, 'planned', None, None, ),  # 4
 )
 all_structs.append(AdapterView)
 AdapterView.thrift_spec = (
--- a/src/quetzalgauge/node/codec.py
+++ b/src/quetzalgauge/node/codec.py
@@ -148,7 +148,10 @@
         view.incarnation,
         [
             ttypes.ReplicaView(
-                one.model, _milliseconds(one.ready_in), one.closing
+                one.model,
+                _milliseconds(one.ready_in),
+                one.closing,
+                one.planned,
             )
             for one in view.replicas
         ],
@@ -183,7 +186,10 @@
         wire.incarnation,
         tuple(
             exchange.ReplicaView(
-                ids.ModelName(one.model), _duration(one.ready_in), one.closing
+                ids.ModelName(one.model),
+                _duration(one.ready_in),
+                one.closing,
+                one.planned,
             )
             for one in wire.replicas
         ),
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import datetime
 import http.client
 import itertools
 import json
@@ -165,6 +166,7 @@
         self._events = streams.EventFilter(has_end_marker=False)
         self._answer: upstream.Answer | None = None
         self._reused = False
+        self._longest_gap = 0.0
         self._arrived = parts.now()
         self._repeatable = False
 
@@ -238,6 +240,7 @@
                 self._answer is not None,
                 self._events.last_event,
                 self._reused,
+                datetime.timedelta(seconds=self._longest_gap),
             )
         )
 
@@ -291,15 +294,17 @@
             events.resume_after(action.resume_after)
         until = action.first_by.total_seconds()
         gap = action.max_gap.total_seconds()
+        last = None
         try:
             while data := client.read(response, until, action, attempt):
+                now = self._parts.now().total_seconds()
+                if last is not None:
+                    self._longest_gap = max(self._longest_gap, now - last)
+                last = now
                 whole = events.feed(data)
                 if whole:
                     self._write_events(response, whole)
-                until = min(
-                    self._parts.now().total_seconds() + gap,
-                    action.deadline.total_seconds(),
-                )
+                until = min(now + gap, action.deadline.total_seconds())
         except streams.StreamError as error:
             raise connections.AttemptError(
                 requests.Failure.MALFORMED
@@ -308,7 +313,12 @@
             raise connections.AttemptError(requests.Failure.CUT)
         client.give_back(connection, response, action, attempt)
         self._parts.tell(
-            requests.AttemptEnded(self._call.token, None, response.status)
+            requests.AttemptEnded(
+                self._call.token,
+                None,
+                response.status,
+                longest_gap=datetime.timedelta(seconds=self._longest_gap),
+            )
         )
         self._parts.meters.count_request("200")
         self._writer.end_stream()
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -19,6 +19,7 @@
         counts.add(row)
     settings = {
         "copies_elsewhere": lambda model, target: 1,
+        "crowding": lambda model: 0.0,
         "adapter_rate": lambda model: 0.0,
         "guards": lambda target, model: False,
         "store_loads": 2,
@@ -31,6 +32,11 @@
             model: [NOW + samples.seconds(slack) for slack in slacks]
             for model, slacks in (wishes or {}).items()
         },
+        [
+            model
+            for model, rate in (rates or {}).items()
+            if rate >= placement.BUSY_RATE
+        ],
         lambda model: (rates or {}).get(model, 0.1),
         counts,
         lambda model: (elsewhere or {}).get(model, 0),
@@ -155,6 +161,45 @@
     assert choose(scene) is not None
 
 
+def test_a_crowded_model_gets_another_replica():
+    """The pattern: two busy models on one target, others nearly idle."""
+    crowded = samples.make_stock("t1", ["m0"], [])
+    idle = samples.make_stock("t2", ["m1"], ["m0"])
+    rates = {"m0": 17.0}
+    scene = make_scene([crowded, idle], rates=rates)
+    assert getattr(choose(scene, spares=True), "model", "") != "m0"
+    scene = make_scene([crowded, idle], rates=rates, crowding=lambda model: 1.4)
+    choice = choose(scene, spares=True)
+    assert (choice.model, choice.stock.target) == ("m0", "t2")
+
+
+def test_a_busy_model_that_nobody_has_is_loaded_without_any_wish():
+    """The pattern: a busy model whose requests are all refused as too late."""
+    scene = make_scene([full_stock()], rates={"m4": 17.0})
+    assert choose(scene).model == "m4"
+
+
+def test_a_crowded_model_is_not_loaded_where_it_is():
+    """Guards against an endless row of orders that already hold."""
+    crowded = samples.make_stock("t1", ["m0"], ["m0"])
+    scene = make_scene(
+        [crowded], rates={"m0": 17.0}, crowding=lambda model: 1.4
+    )
+    assert getattr(choose(scene, spares=True), "model", "") != "m0"
+
+
+def test_a_replica_that_the_others_cannot_replace_stays():
+    """The pattern: a busy model whose targets are all half full."""
+    scene = make_scene(
+        [samples.make_stock("t1", ["m0"], ["m3"], engine=_small())],
+        {"m3": [2.0]},
+        rates={"m0": 17.0},
+        elsewhere={"m0": 1},
+        crowding=lambda model: 0.55,
+    )
+    assert choose(scene) is None
+
+
 def test_the_guard_of_a_model_with_adapters_stays_free():
     """The pattern: many adapters of a busy model, asked for in turn.
 
@@ -276,9 +321,10 @@
 def test_models_on_several_targets_count_as_busy_before_any_request():
     """Guards against busy models unloaded before traffic begins."""
     known = demand.Demand()
-    known.use_prior({"m0": 2, "m1": 1})
+    known.use_prior({"m0": 2, "m1": 1}, ["m4"])
     assert known.rate("m0", NOW) > known.rate("m1", NOW)
-    assert known.rate("m1", NOW) > known.rate("m5", NOW)
+    assert known.rate("m1", NOW) > known.rate("m4", NOW)
+    assert known.rate("m4", NOW) > known.rate("m5", NOW)
 
 
 def test_reports_of_a_silent_instance_do_not_count():
