Refuse streams that a stopping process would cut

Change: 2.5 s after a stop began, streams are refused with a short Retry-After, as another instance can take them at once; short requests are served until their aim no longer fits.

--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -35,6 +35,12 @@
 UNKNOWN_WAIT = datetime.timedelta(milliseconds=800)
 # When to come back if nothing tells how long it will take.
 UNKNOWN_RETRY = datetime.timedelta(seconds=1)
+# Streams that arrive later than this after a stop began are refused: their
+# runs last for seconds, and the process may end before them. Callers who come
+# so late had not noticed that the instance is no longer ready.
+LAST_STREAM_START = datetime.timedelta(milliseconds=2500)
+# Pause until a caller's next try at another instance.
+OTHER_INSTANCE_RETRY = datetime.timedelta(milliseconds=100)
 # Pause before a target that said it was full or lacked a model is asked again.
 RETRY_PAUSE = datetime.timedelta(milliseconds=8)
 # Longest wait for an adapter on one target.
@@ -137,6 +143,8 @@
         self._service_times: dict[waiting.Key, float] = {}
         self._timers: list[tuple[datetime.timedelta, int]] = []
         self._review_at = _ZERO
+        self._last_stream_at = datetime.timedelta.max
+        self._stop_at = datetime.timedelta.max
         self._notes: list[notes.Note] = []
 
     # ---- Properties
@@ -217,6 +225,13 @@
             actions += self._review(now)
         return actions
 
+    def drain(
+        self, stop_at: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        """Takes only what can end before the process must stop."""
+        self._last_stream_at = min(stop_at, now + LAST_STREAM_START)
+        self._stop_at = stop_at
+
     def cut_off(self, now: datetime.timedelta) -> list[requests.Action]:
         """Ends everything that is left when the process must end."""
         actions: list[requests.Action] = []
@@ -259,6 +274,8 @@
         self._calls[event.token] = call
         if len(self._calls) > self._limits.in_progress:
             return self._refuse(call, "too_many", UNKNOWN_RETRY, now)
+        if not self._ends_before_stop(route, now):
+            return self._refuse(call, "stopping", OTHER_INSTANCE_RETRY, now)
         if head.model is not None:
             spec = self._model(call)
             if spec is None:
@@ -267,6 +284,13 @@
         self._budget(service).record_request()
         return self._place(call, now)
 
+    def _ends_before_stop(
+        self, route: configuration.Route, now: datetime.timedelta
+    ) -> bool:
+        if route.kind is configuration.Kind.STREAM:
+            return now <= self._last_stream_at
+        return now + route.aim <= self._stop_at
+
     def _turn_away(
         self,
         event: requests.Arrived,
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -108,7 +108,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainRequested:
-    """A planned stop has begun."""
+    """A planned stop has begun.
+
+    Attributes:
+        stop_at: When the last request must have ended.
+    """
+
+    stop_at: datetime.timedelta
 
 
 Event: TypeAlias = (
@@ -281,7 +287,7 @@
             case LimitsChanged():
                 self._gateway.use_limits(event.limits)
             case DrainRequested():
-                actions += self._drain()
+                actions += self._drain(event.stop_at, now)
         return actions
 
     def _use_order_event(
@@ -491,10 +497,13 @@
 
     # ---- End
 
-    def _drain(self) -> list[Action]:
+    def _drain(
+        self, stop_at: datetime.timedelta, now: datetime.timedelta
+    ) -> list[Action]:
         if self._is_draining:
             return []
         self._is_draining = True
+        self._gateway.drain(stop_at, now)
         self._notes.append(notes.Note("drain", {"waiting": self.waiting_count}))
         self._holder = None
         self._fleet.lose_holder(self._identity.availability_zone)
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -235,7 +235,8 @@
 
     def drain(self) -> None:
         """Starts the graceful shutdown."""
-        self._inbox.put(node.DrainRequested())
+        limit = self._config.stop_time - STOP_MARGIN
+        self._inbox.put(node.DrainRequested(self._now() + limit))
 
     def reload(self) -> None:
         """Reads the settings file again."""
--- a/tests/test_core_gateway.py
+++ b/tests/test_core_gateway.py
@@ -302,6 +302,34 @@
     assert (refusal.status, refusal.run) == (503, False)
 
 
+def test_a_stopping_process_refuses_streams_that_it_would_cut():
+    """Guards against a late stream that breaks when the process ends.
+
+    The load: callers go on using their open connections for seconds after the
+    stop began, and streams last for seconds. Seen on a day with a planned stop.
+    """
+    bench = engine_bench()
+    bench.publish(samples.view("e1", ["m0"]), samples.view("e2", ["m0"]))
+    bench.gateway.drain(bench.now + samples.seconds(7), bench.now)
+    bench.advance(samples.seconds(2))
+    assert samples.only(bench.arrive("/rare/1", model="m0"), requests.Send)
+    bench.advance(samples.seconds(1))
+    (refusal,) = bench.arrive("/rare/2", model="m0")
+    assert (refusal.status, refusal.run) == (503, False)
+    assert refusal.retry_after < samples.seconds(1)
+
+
+def test_a_stopping_process_serves_short_requests_to_the_end():
+    """Guards against refusals of what still fits into the time left."""
+    bench = plain_bench()
+    bench.gateway.drain(bench.now + samples.seconds(7), bench.now)
+    bench.advance(samples.seconds(6))
+    assert samples.only(bench.arrive("/look/1"), requests.Send)
+    bench.advance(samples.ms(900))
+    (refusal,) = bench.arrive("/look/2")
+    assert (refusal.status, refusal.run) == (503, False)
+
+
 def test_a_process_counts_no_request_twice_when_its_worker_fails():
     """Guards against places on a target that are never given back."""
     bench = plain_bench(1)
