--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -41,6 +41,8 @@
 LAST_STREAM_START = datetime.timedelta(milliseconds=2500)
 # Pause until a caller's next try at another instance.
 OTHER_INSTANCE_RETRY = datetime.timedelta(milliseconds=100)
+# Reasons of a refusal that the last look at the queue explains.
+_JUDGED = frozenset({"no_target", "too_late"})
 # Pause before a target that said it was full or lacked a model is asked again.
 RETRY_PAUSE = datetime.timedelta(milliseconds=8)
 # Longest wait for an adapter on one target.
@@ -102,6 +104,7 @@
     last_event: str = ""
     first_part_at: datetime.timedelta | None = None
     longest_gap: datetime.timedelta = _ZERO
+    judged: dict[str, Any] = dataclasses.field(default_factory=dict)
     ran_on: set[ids.TargetId] = dataclasses.field(default_factory=set)
     avoided: set[ids.TargetId] = dataclasses.field(default_factory=set)
     failures: list[requests.Failure] = dataclasses.field(default_factory=list)
@@ -590,6 +593,17 @@
         offers = fleet.offers(service, spec, now) if spec else []
         return offers[0].ready_at if offers else None
 
+    def _count_places(
+        self, call: _Call, now: datetime.timedelta
+    ) -> dict[str, int]:
+        """Returns the usable targets and those that serve the model."""
+        service, name = call.key
+        usable = self._fleet.usable(service, now)
+        if name is None:
+            return {"usable": len(usable)}
+        serving = self._fleet.replicas(service, name, now)
+        return {"usable": len(usable), "serving": len(serving)}
+
     def _queue_time(
         self, call: _Call, present: Iterable[targets.Description]
     ) -> datetime.timedelta:
@@ -608,6 +622,16 @@
         """Refuses a request that nothing can start in time."""
         expected = self._expected(call, now)
         limit = call.start_by - patience.ANSWER_MARGIN
+        call.judged = {
+            "expected_ms": (
+                None
+                if expected is None
+                else _milliseconds(expected - call.arrived)
+            ),
+            "allowed_ms": _milliseconds(limit - call.arrived),
+            "queued": self._queues.length(call.key),
+            "places": self._count_places(call, now),
+        }
         if expected is None:
             if now < min(limit, call.arrived + UNKNOWN_WAIT):
                 return None
@@ -938,6 +962,7 @@
                     "longest_gap_ms": _milliseconds(call.longest_gap),
                     "took_ms": _milliseconds(now - call.arrived),
                     "configuration": call.version,
+                    **(call.judged if reason in _JUDGED else {}),
                 },
             )
         )
--- a/src/quetzalgauge/ctl.py
+++ b/src/quetzalgauge/ctl.py
@@ -1,48 +1,53 @@
 """quetzalgauge-ctl: the operators' command line."""
 
-from collections.abc import Callable
-import dataclasses
+from collections.abc import Iterable
+from collections.abc import Iterator
 import json
 import pathlib
-import ssl
 import sys
-import time
 from typing import Annotated
 from typing import Any
-from typing import Literal
 from typing import NoReturn
-from typing import TypeAlias
-import urllib.parse
 
 import cyclopts
 import urllib3
 
 from quetzalgauge import exceptions
-from quetzalgauge import findings
-from quetzalgauge import jsonc
-from quetzalgauge import settings
-from quetzalgauge import tickets
+from quetzalgauge.node import settings
 
 DONE = 0
 FAILED = 1
 WRONG_USAGE = 2
-REFUSED = 3
-UNKNOWN = 4
 
-_CONNECT_TIMEOUT_SECONDS = 2
-# A control process waits for the log before it answers a ticket.
-_READ_TIMEOUT_SECONDS = 15
-_REPEAT_PAUSE_SECONDS = 0.5
-_DEFAULT_WAIT_SECONDS = 30.0
-_REFUSING_STATUSES = frozenset((400, 404, 405, 409, 413, 422))
+# Long enough for a busy owner task, see DUMP_TIMEOUT_SECONDS in node.process.
+_TIMEOUT_SECONDS = 3.0
+# Lines of other requests that an explanation shows before an outcome: what an
+# instance believed about the target and the model just then.
+_BELIEFS = frozenset(
+    (
+        "configuration",
+        "order_answered",
+        "placement",
+        "seat_taken",
+        "seat_lost",
+        "store_lost",
+        "store_regained",
+        "target_changed",
+        "target_found",
+        "target_gone",
+        "target_lapsed",
+        "target_leaving",
+        "target_restarted",
+    )
+)
+_BELIEF_SECONDS = 5.0
 
 app = cyclopts.App(
     name="quetzalgauge-ctl",
     help=(
-        "Operate a quetzalgauge deployment.\n\n"
-        "Exit status: 0 done, 1 failed, 2 wrong usage, settings or ticket"
-        " (nothing was sent), 3 refused, 4 unknown outcome.\n\n"
-        "Example: quetzalgauge-ctl submit ticket.json --control 127.0.0.1:9001"
+        "Look into the instances of a deployment.\n\n"
+        "Exit status: 0 done, 1 failed or not found, 2 wrong usage or"
+        " settings."
     ),
     version_flags=[],
     result_action="return_value",
@@ -51,374 +56,210 @@
 
 
 class _ExitError(exceptions.QuetzalgaugeError):
-    """The command ends with this status; its text is printed."""
-
-    def __init__(self, status: int, message: str) -> None:
-        super().__init__(message)
-        self.status = status
-
-
-@cyclopts.Parameter(name="*")
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Connection:
-    """How to reach a process, and how to print its answer.
-
-    Attributes:
-        control: HOST:PORT of the operator listener; repeat it to name further
-            processes, which are tried in turn.
-        json_output: Print one JSON object.
-        authority: PEM file of the certificate authority; implies TLS.
-        certificate: PEM file of the own certificate.
-        key: PEM file of the own key.
-    """
-
-    control: Annotated[list[str], cyclopts.Parameter(negative=())]
-    json_output: Annotated[
-        bool, cyclopts.Parameter(name="--json", negative=())
-    ] = False
-    authority: pathlib.Path | None = None
-    certificate: pathlib.Path | None = None
-    key: pathlib.Path | None = None
+    """The command ends; its text is printed."""
 
 
 @app.command
-def submit(
-    file: pathlib.Path,
-    /,
-    *,
-    connection: Connection,
-    wait: float = _DEFAULT_WAIT_SECONDS,
-) -> int:
-    """Submit a change ticket.
-
-    The ticket is checked first. After a lost answer it is sent again until
-    its outcome is known: the same ticket twice has one effect.
+def status(*addresses: str) -> int:
+    """Show who holds which zone, queues and the age of what is believed.
 
     For example:
 
-    `quetzalgauge-ctl submit ticket.json --control 127.0.0.1:9001`
+    `quetzalgauge-ctl status 127.0.0.1:9464 127.0.0.1:9465`
 
     Args:
-        file: The ticket, JSON with comments.
-        connection: The control process.
-        wait: Seconds until an unknown outcome is reported as such.
+        addresses: Operator addresses of instances.
     """
-    # The control process gets plain JSON: comments would make it load the
-    # lark parser, 11 MB of its 64 MB.
-    text = tickets.parse(_read(file), str(file)).text
-    body, status = _submit(connection, text, wait)
-    _print(connection, body, _ticket_lines)
-    return status
+    if not addresses:
+        _fail("name at least one operator address")
+    failed = False
+    for address in addresses:
+        try:
+            state = _get_state(address)
+        except _ExitError as error:
+            print(error)
+            failed = True
+            continue
+        print("\n".join(_describe(address, state)))
+    return FAILED if failed else DONE
 
 
 @app.command
-def status(
-    ticket: int | None = None,
-    /,
-    *,
-    connection: Connection,
-) -> int:
-    """Show whether a process is ready, or what became of a ticket.
+def dump(address: str, /) -> int:
+    """Print the whole state of an instance as JSON.
 
     For example:
 
-    `quetzalgauge-ctl status --control 127.0.0.1:9001`
-
-    `quetzalgauge-ctl status 17 --control 127.0.0.1:9001`
+    `quetzalgauge-ctl dump 127.0.0.1:9464`
 
     Args:
-        ticket: Number of a ticket.
-        connection: The process.
+        address: Operator address of the instance.
     """
-    if ticket is not None:
-        body = _get(connection, f"/tickets/{ticket}")
-        _print(connection, body, _ticket_lines)
-        return DONE
-    states = {
-        name: _call(connection, "GET", f"/{name}").status == 200
-        for name in ("healthz", "readyz")
-    }
-    body = {"healthy": states["healthz"], "ready": states["readyz"]}
-    _print(connection, body, _field_lines)
-    return DONE if all(body.values()) else FAILED
+    print(json.dumps(_get_state(address), indent=2))
+    return DONE
 
 
 @app.command
-def check(
-    file: pathlib.Path,
-    /,
-    *,
-    kind: Literal["auto", "ticket", "entry", "control"] = "auto",
-    json_output: Annotated[
-        bool, cyclopts.Parameter(name="--json", negative=())
-    ] = False,
-) -> int:
-    """Check a ticket or settings file offline and print every finding.
+def check(file: pathlib.Path, /) -> int:
+    """Check a settings file and print every finding with its place.
 
     For example:
 
-    `quetzalgauge-ctl check ticket.json`
-
-    `quetzalgauge-ctl check entry.json --kind entry`
+    `quetzalgauge-ctl check settings.json`
 
     Args:
-        file: The file, JSON with comments.
-        kind: What the file is; by default found out from its keys.
-        json_output: Print one JSON object.
+        file: The settings, JSON with comments.
     """
-    text = _read(file)
-    found: tuple[str, ...] = ()
     try:
-        if kind == "auto":
-            kind = _detect(jsonc.parse(text, str(file)).value, str(file))
-        _CHECKERS[kind](text, str(file))
+        settings.load(file)
     except exceptions.FindingsError as error:
-        found = error.findings
-    if json_output:
-        print(json.dumps({"kind": kind, "findings": list(found)}))
-    else:
-        print("\n".join(found) or f"{file}: valid {kind} file")
-    return WRONG_USAGE if found else DONE
-
-
-@app.command
-def dump(*, connection: Connection) -> int:
-    """Print the state of a process as JSON.
-
-    For example:
-
-    `quetzalgauge-ctl dump --control 127.0.0.1:9001`
-
-    Args:
-        connection: The process.
-    """
-    body = _get(connection, "/dump")
-    print(json.dumps(body, indent=None if connection.json_output else 2))
+        print("\n".join(error.findings))
+        return WRONG_USAGE
+    print(f"{file}: valid")
     return DONE
 
 
 @app.command
-def drain(*, connection: Connection, target: str = "") -> int:
-    """Start the graceful shutdown of a process, or drain a target.
+def explain(
+    request: str,
+    /,
+    *logs: pathlib.Path,
+    json_output: Annotated[
+        bool, cyclopts.Parameter(name="--json", negative=())
+    ] = False,
+) -> int:
+    """Show what was decided about a request, and what was believed then.
 
-    A drained target gets no new work until it is restarted.
+    Prints the request's own lines and, from the five seconds before its end,
+    those about its targets and its model.
 
     For example:
 
-    `quetzalgauge-ctl drain --control 127.0.0.1:9001`
-
-    `quetzalgauge-ctl drain --target lm-1 --control 127.0.0.1:9001`
+    `quetzalgauge-ctl explain 9c1d44b2 qg-1.log qg-2.log`
 
     Args:
-        connection: The process.
-        target: A target that is to be drained by all instances.
-    """
-    quoted = urllib.parse.quote(target, safe="")
-    path = f"/targets/{quoted}/drain" if target else "/drain"
-    answer = _call(connection, "POST", path)
-    if answer.status != 202:
-        raise _make_error(answer)
-    body = {"draining": target or "process"}
-    _print(connection, body, _field_lines)
-    return DONE
-
-
-def _submit(connection: Connection, text: str, wait: float) -> tuple[Any, int]:
-    end = time.monotonic() + wait
-    was_sent = False
-    while True:
-        reason = ""
-        try:
-            answer = _call(connection, "POST", "/tickets", text.encode())
-            was_sent = True
-            if answer.status == 200:
-                return _json(answer), DONE
-            if answer.status in _REFUSING_STATUSES:
-                return _json(answer), REFUSED
-            reason = f"answered {answer.status}"
-        except _NotSentError as error:
-            reason = str(error)
-        except _LostError as error:
-            was_sent = True
-            reason = str(error)
-        if time.monotonic() >= end:
-            if was_sent:
-                raise _ExitError(UNKNOWN, f"unknown outcome: {reason}")
-            raise _ExitError(FAILED, f"not sent: {reason}")
-        time.sleep(_REPEAT_PAUSE_SECONDS)
-
-
-# ---- HTTP ------------------------------------------------------------------
-
-
-class _NotSentError(_ExitError):
-    def __init__(self, message: str) -> None:
-        super().__init__(FAILED, message)
-
-
-class _LostError(_ExitError):
-    def __init__(self, message: str) -> None:
-        super().__init__(UNKNOWN, f"answer lost: {message}")
-
-
-def _call(
-    connection: Connection, method: str, path: str, body: bytes | None = None
-) -> urllib3.BaseHTTPResponse:
-    """Sends a call to the first process that can be reached.
-
-    Raises:
-        _NotSentError: No process can be reached.
-        _LostError: The call was sent and the answer is missing.
+        request: The request's id, from the caller or the answer.
+        logs: Log files of instances; each has its own clock.
+        json_output: Print the lines as they are.
     """
-    pool = _make_pool(connection)
-    scheme = "https" if connection.authority else "http"
-    reasons = []
-    for address in connection.control:
-        try:
-            return pool.request(
-                method, f"{scheme}://{address}{path}", body=body
+    found = False
+    for path in logs:
+        rows = list(_read_log(path))
+        own = [row for row in rows if row.get("request") == request]
+        if not own:
+            continue
+        found = True
+        for row in _with_beliefs(rows, own):
+            if json_output:
+                print(json.dumps(row))
+            else:
+                print(f"{path.name} {_line(row)}")
+    if not found:
+        print(f"no line about {request}; was it left out? see log_left_out")
+    return DONE if found else FAILED
+
+
+def _with_beliefs(
+    rows: Iterable[dict[str, Any]], own: list[dict[str, Any]]
+) -> Iterator[dict[str, Any]]:
+    """Returns a request's lines and those that explain them, in order."""
+    targets = {row["target"] for row in own if row.get("target")}
+    models = {row["model"] for row in own if row.get("model")}
+    end = own[-1].get("t", 0.0)
+    for row in rows:
+        if row in own or (
+            row.get("event") in _BELIEFS
+            and end - _BELIEF_SECONDS <= row.get("t", 0.0) <= end
+            and (
+                row.get("target") in targets
+                or not models.isdisjoint((row.get("model"), row.get("for")))
+                or "target" not in row
             )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
         ):
-            reasons.append(f"{address} cannot be reached")
-        except urllib3.exceptions.LocationValueError:
-            reasons.append(f"{address!r} is not HOST:PORT")
-        except urllib3.exceptions.HTTPError as error:
-            raise _LostError(f"{address}: {type(error).__name__}") from error
-    raise _NotSentError("; ".join(reasons))
-
-
-def _make_pool(connection: Connection) -> urllib3.PoolManager:
-    context = None
-    if connection.authority:
-        context = ssl.create_default_context(cafile=connection.authority)
-        if connection.certificate:
-            context.load_cert_chain(connection.certificate, connection.key)
-    return urllib3.PoolManager(
-        retries=False,
-        ssl_context=context,
-        timeout=urllib3.Timeout(
-            connect=_CONNECT_TIMEOUT_SECONDS, read=_READ_TIMEOUT_SECONDS
-        ),
-    )
-
-
-def _get(connection: Connection, path: str) -> Any:
-    answer = _call(connection, "GET", path)
-    if answer.status != 200:
-        raise _make_error(answer)
-    return _json(answer)
+            yield row
 
 
-def _make_error(answer: urllib3.BaseHTTPResponse) -> _ExitError:
+def _read_log(path: pathlib.Path) -> Iterator[dict[str, Any]]:
+    """Returns the JSON lines of a log; a torn last line is left out."""
     try:
-        text = answer.json()["error"]
-    except (ValueError, KeyError, TypeError):
-        text = "no reason given"
-    refused = answer.status in _REFUSING_STATUSES
-    return _ExitError(
-        REFUSED if refused else FAILED, f"answered {answer.status}: {text}"
-    )
-
-
-def _json(answer: urllib3.BaseHTTPResponse) -> Any:
-    try:
-        return answer.json()
-    except ValueError as error:
-        raise _ExitError(FAILED, "the answer is not JSON") from error
-
-
-# ---- Files -----------------------------------------------------------------
-
-
-def _read(file: pathlib.Path) -> str:
-    try:
-        return file.read_bytes().decode("utf-8")
+        text = path.read_text(errors="replace")
     except OSError as error:
-        reason = error.strerror or str(error)
-        raise exceptions.FindingsError([f"{file}: {reason}"]) from error
-    except UnicodeDecodeError as error:
-        raise exceptions.FindingsError([f"{file}: not UTF-8"]) from error
-
-
-_Checker: TypeAlias = Callable[[str, str], object]
-
-_CHECKERS: dict[str, _Checker] = {
-    "ticket": tickets.parse,
-    "entry": lambda text, source: settings.parse(
-        text, source, settings.EntrySettings
-    ),
-    "control": lambda text, source: settings.parse(
-        text, source, settings.ControlSettings
-    ),
-}
-# A key that only a file of this kind has.
-_MARKS: tuple[tuple[str, Literal["ticket", "entry", "control"]], ...] = (
-    ("ticket", "ticket"),
-    ("models", "ticket"),
-    ("control_listen", "control"),
-    ("peer_listen", "control"),
-    ("log_url", "control"),
-    ("entry", "entry"),
-    ("control", "entry"),
-)
-
-
-def _detect(value: Any, source: str) -> Literal["ticket", "entry", "control"]:
-    if isinstance(value, dict):
-        for key, kind in _MARKS:
-            if key in value:
-                return kind
-    message = "neither a ticket nor settings; use --kind"
-    raise exceptions.FindingsError(
-        [str(findings.Finding(source, 1, (), message))]
+        _fail(f"{path}: {error.strerror}")
+    for line in text.splitlines():
+        try:
+            row = json.loads(line)
+        except ValueError:
+            continue
+        if isinstance(row, dict):
+            yield row
+
+
+def _line(row: dict[str, Any]) -> str:
+    rest = " ".join(
+        f"{key}={json.dumps(value)}"
+        for key, value in row.items()
+        if key not in ("t", "event") and value not in (None, "", [])
     )
+    return f"{row.get('t', 0.0):9.3f} {row.get('event', ''):15} {rest}"
+
+
+def _describe(address: str, state: dict[str, Any]) -> Iterator[str]:
+    """Returns the lines of one instance."""
+    seat = state["seat"]
+    gateway = state["gateway"]
+    yield (
+        f"{state['instance']} ({address}) in {state['zone']}:"
+        f" {'ready' if state['ready'] else 'not ready'}"
+        f"{', stopping' if state['draining'] else ''},"
+        f" configuration {gateway['configuration']}"
+    )
+    if seat["holding"]:
+        yield (
+            f"  holds the zone with token {seat['token']},"
+            f" may order for {seat['orders_for_s']:.1f} s"
+        )
+    phases: dict[str, int] = {}
+    for request in gateway["requests"]:
+        phase = request["phase"]
+        phases[phase] = phases.get(phase, 0) + 1
+    counts = ", ".join(f"{count} {phase}" for phase, count in phases.items())
+    yield f"  requests: {counts or 'none'}"
+    for key in ("boards", "targets"):
+        for name, value in _items(state.get(key)):
+            yield f"  {key[:-1]} {name}: {json.dumps(value)}"
+
+
+def _items(value: Any) -> Iterable[tuple[str, Any]]:
+    if isinstance(value, dict):
+        return value.items()
+    return ((str(index), one) for index, one in enumerate(value or ()))
 
 
-# ---- Output ----------------------------------------------------------------
-
-
-def _print(
-    connection: Connection, body: Any, lines: Callable[[Any], list[str]]
-) -> None:
-    if connection.json_output:
-        print(json.dumps(body))
-    else:
-        print("\n".join(lines(body)))
-
-
-def _ticket_lines(body: Any) -> list[str]:
-    if "verdict" not in body:
-        return [str(body.get("error", body))]
-    lines = [f"ticket {body['ticket']}: {body['verdict']}"]
-    if body["offset"] is not None and body["offset"] >= 0:
-        lines[0] += f" at offset {body['offset']}"
-    return lines + [f"  {finding}" for finding in body["findings"]]
-
-
-def _field_lines(body: Any) -> list[str]:
-    return [f"{name}: {str(value).lower()}" for name, value in body.items()]
-
-
-def main() -> NoReturn:
-    """Entry point of quetzalgauge-ctl."""
+def _get_state(address: str) -> dict[str, Any]:
     try:
-        result = app(sys.argv[1:], exit_on_error=False)
-    except cyclopts.CycloptsError:
-        result = WRONG_USAGE
-    except exceptions.FindingsError as error:
-        print(error, file=sys.stderr)
-        result = WRONG_USAGE
+        answer = urllib3.request(
+            "GET",
+            f"http://{address}/dump",
+            retries=False,
+            timeout=_TIMEOUT_SECONDS,
+        )
+        value = answer.json()
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        raise _ExitError(f"{address}: no state: {error}") from error
+    if answer.status != 200 or not isinstance(value, dict):
+        raise _ExitError(f"{address}: answered {answer.status}")
+    return value
+
+
+def _fail(text: str) -> NoReturn:
+    raise _ExitError(text)
+
+
+def main() -> None:
+    """Runs the command line."""
+    try:
+        code = app()
     except _ExitError as error:
-        print(f"quetzalgauge-ctl: {error}", file=sys.stderr)
-        result = error.status
-    except OSError as error:
-        print(f"quetzalgauge-ctl: {error}", file=sys.stderr)
-        result = FAILED
-    sys.exit(result)
-
-
-if __name__ == "__main__":
-    main()
+        print(error, file=sys.stderr)
+        code = FAILED
+    sys.exit(code)
--- a/src/quetzalgauge/emulation/engines.py
+++ b/src/quetzalgauge/emulation/engines.py
@@ -2,11 +2,9 @@
 
 from collections.abc import Callable
 import dataclasses
-import datetime
 from typing import Any
 
 from quetzalgauge import ids
-from quetzalgauge.core import configuration
 from quetzalgauge.core import orders
 from quetzalgauge.core import requests
 from quetzalgauge.core import targets
@@ -390,15 +388,3 @@
                 room -= sizes[name]
         engine.disk += list(engine.loaded)
         engine.start()
-
-
-def to_seconds(duration: datetime.timedelta) -> float:
-    """Returns seconds."""
-    return duration.total_seconds()
-
-
-def specs(
-    models: list[deployments.DrawnModel],
-) -> dict[ids.ModelName, configuration.Model]:
-    """Returns the models' figures by name."""
-    return {one.spec.name: one.spec for one in models}
--- a/src/quetzalgauge/emulation/run.py
+++ b/src/quetzalgauge/emulation/run.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from quetzalgauge import ids
-from quetzalgauge.core import configuration
 from quetzalgauge.core import gateway
 from quetzalgauge.core import node
 from quetzalgauge.core import notes
@@ -602,10 +601,5 @@
     return "\n".join(lines)
 
 
-def is_hot(config: configuration.Configuration) -> bool:
-    """Whether a configuration has engines."""
-    return any(one.engine for one in config.services.values())
-
-
 def _bind(call: Callable[[Any], None], event: Any) -> Callable[[], None]:
     return lambda: call(event)
--- a/src/quetzalgauge/exceptions.py
+++ b/src/quetzalgauge/exceptions.py
@@ -27,10 +27,6 @@
     """The platform could not be reached or refused a call."""
 
 
-class LogUnavailableError(PlatformError):
-    """The log did not answer; an append may or may not have taken effect."""
-
-
 class LogExpiredError(PlatformError):
     """Records from the wanted offset are no longer kept.
 
@@ -43,17 +39,5 @@
         self.earliest = earliest
 
 
-class PeerError(QuetzalgaugeError):
-    """A peer or the control process did not answer."""
-
-
-class PeerUnreachableError(PeerError):
-    """There was no connection, so no byte of the call was sent."""
-
-
 class NotSentError(PlatformError):
     """There was no connection, so no byte of a request was sent."""
-
-
-class NoReplyError(QuetzalgaugeError):
-    """The control core did not reply in time."""
--- a/src/quetzalgauge/gen/__init__.py
+++ b/src/quetzalgauge/gen/__init__.py
@@ -1,1 +0,0 @@
-__all__ = ['ttypes', 'constants', 'Control', 'Peer']
--- a/src/quetzalgauge/httpclient.py
+++ b/src/quetzalgauge/node/httpclient.py
@@ -18,8 +18,8 @@
 import urllib3
 from urllib3 import connection as urllib3_connection
 
-from quetzalgauge import connections
 from quetzalgauge import exceptions
+from quetzalgauge.node import connections
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
--- a/src/quetzalgauge/node/ordering.py
+++ b/src/quetzalgauge/node/ordering.py
@@ -6,11 +6,11 @@
 
 from quetzalgauge import clock
 from quetzalgauge import exceptions
-from quetzalgauge import httpclient
-from quetzalgauge import tasks
 from quetzalgauge.core import orders
+from quetzalgauge.node import httpclient
 from quetzalgauge.node import journal
 from quetzalgauge.node import meters
+from quetzalgauge.node import tasks
 from quetzalgauge.platform import engine
 
 ORDER_TIMEOUT = datetime.timedelta(milliseconds=400)
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -14,16 +14,15 @@
 import threading
 from typing import Any
 
-from quetzalgauge import callerwatch
 from quetzalgauge import clock
 from quetzalgauge import exceptions
-from quetzalgauge import tasks
 from quetzalgauge.core import configuration
 from quetzalgauge.core import gateway
 from quetzalgauge.core import node
 from quetzalgauge.core import notes
 from quetzalgauge.core import orders
 from quetzalgauge.core import requests
+from quetzalgauge.node import callerwatch
 from quetzalgauge.node import followers
 from quetzalgauge.node import journal
 from quetzalgauge.node import links
@@ -33,6 +32,7 @@
 from quetzalgauge.node import seating
 from quetzalgauge.node import settings
 from quetzalgauge.node import status
+from quetzalgauge.node import tasks
 from quetzalgauge.node import upstream
 from quetzalgauge.node import worker
 from quetzalgauge.platform import config as platform_config
--- a/src/quetzalgauge/node/upstream.py
+++ b/src/quetzalgauge/node/upstream.py
@@ -18,8 +18,8 @@
 from urllib3.util import request as urllib3_request
 
 from quetzalgauge import clock
-from quetzalgauge import connections
 from quetzalgauge.core import requests
+from quetzalgauge.node import connections
 from quetzalgauge.platform import headers as wire_headers
 
 Response: TypeAlias = urllib3.response.BaseHTTPResponse
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -14,14 +14,14 @@
 import queue
 import socket
 
-from quetzalgauge import callerwatch
 from quetzalgauge import clock
-from quetzalgauge import connections
 from quetzalgauge import exceptions
-from quetzalgauge import streams
 from quetzalgauge.core import requests
+from quetzalgauge.node import callerwatch
+from quetzalgauge.node import connections
 from quetzalgauge.node import listener
 from quetzalgauge.node import meters
+from quetzalgauge.node import streams
 from quetzalgauge.node import upstream
 from quetzalgauge.platform import headers as wire_headers
 
--- a/src/quetzalgauge/platform/engine.py
+++ b/src/quetzalgauge/platform/engine.py
@@ -6,9 +6,9 @@
 
 from quetzalgauge import exceptions
 from quetzalgauge import fields
-from quetzalgauge import httpclient
 from quetzalgauge import ids
 from quetzalgauge.core import orders
+from quetzalgauge.node import httpclient
 from quetzalgauge.platform import register
 
 _ANSWERS = {
--- a/src/quetzalgauge/platform/headers.py
+++ b/src/quetzalgauge/platform/headers.py
@@ -14,7 +14,6 @@
 _REQUEST_ID = "Request-Id"
 _DEADLINE = "Deadline-Ms"
 _LAST_EVENT = "Last-Event-Id"
-_STAMP = "Response-Stamp"
 _EXPECTED_TARGET = "Expect-Instance"
 _TARGET = "Instance-Id"
 _NOT_RUN = "Not-Run"
--- a/src/quetzalgauge/standin_site.py
+++ b/src/quetzalgauge/platform/standin.py
@@ -15,8 +15,8 @@
 import time
 from typing import Any
 
-from quetzalgauge import settings
-from quetzalgauge import standin_http
+from quetzalgauge.node import settings
+from quetzalgauge.standins import server
 
 STEP_SECONDS = 0.005
 EVENT_TOKENS = 6
@@ -43,7 +43,7 @@
         self._groups: dict[str, _Group] = {}
         self.calls = 0
         loopback = settings.Address(host="127.0.0.1", port=0)
-        self.server = standin_http.Server(
+        self.server = server.Server(
             loopback, threads, self._handle, lambda: {"calls": self.calls}
         )
 
@@ -69,7 +69,7 @@
             for group in self._groups.values():
                 group.deal_anew()
 
-    def _handle(self, request: standin_http.Request) -> standin_http.Response:
+    def _handle(self, request: server.Request) -> server.Response:
         self.calls += 1
         handler = {
             "/log-read": self._read,
@@ -80,17 +80,17 @@
             "/log-owners": self._owners,
         }.get(request.path)
         if handler is None:
-            return standin_http.make_json_response(404, {})
+            return server.make_json_response(404, {})
         return handler(request)
 
-    def _read(self, request: standin_http.Request) -> standin_http.Response:
+    def _read(self, request: server.Request) -> server.Response:
         topic = request.query["topic"]
         position = int(request.query["from"])
         until = time.monotonic() + int(request.query.get("wait_ms", 0)) / 1000
         with self._lock:
             first = self._first.get(topic, 0)
             if position < first:
-                return standin_http.make_json_response(410, {"first": first})
+                return server.make_json_response(410, {"first": first})
             while True:
                 rows = self._topics.get(topic, [])
                 left = until - time.monotonic()
@@ -104,13 +104,9 @@
             for key, value in rows[position:]:
                 record = bytes([len(key)]) + key.encode() + value
                 data += _LENGTH.pack(len(record)) + record
-        return standin_http.Response(
-            200, [data], {"Content-Length": str(len(data))}
-        )
+        return server.Response(200, [data], {"Content-Length": str(len(data))})
 
-    def _read_newest(
-        self, request: standin_http.Request
-    ) -> standin_http.Response:
+    def _read_newest(self, request: server.Request) -> server.Response:
         with self._lock:
             rows = self._topics.get(request.query["topic"], [])
             newest = sorted(_newest(rows).items())
@@ -125,19 +121,19 @@
             }
             for key, value in left[:50]
         ]
-        return standin_http.make_json_response(
+        return server.make_json_response(
             200, {"items": items, "more": len(left) > 50, "end": end}
         )
 
-    def _append(self, request: standin_http.Request) -> standin_http.Response:
+    def _append(self, request: server.Request) -> server.Response:
         topic = request.query["topic"]
         if topic in ("keyed.op", "keyed.servers"):
-            return standin_http.make_json_response(403, {})
+            return server.make_json_response(403, {})
         with self._lock:
             rows = self._topics.setdefault(topic, [])
             at = request.query.get("at")
             if at is not None and int(at) != len(rows):
-                return standin_http.make_json_response(412, {"end": len(rows)})
+                return server.make_json_response(412, {"end": len(rows)})
             offset = len(rows)
             data = request.body
             place = 0
@@ -148,17 +144,17 @@
                 key = record[1 : 1 + record[0]].decode()
                 rows.append((key, record[1 + record[0] :]))
             self._lock.notify_all()
-            return standin_http.make_json_response(
+            return server.make_json_response(
                 200, {"offset": offset, "end": len(rows)}
             )
 
-    def _join(self, request: standin_http.Request) -> standin_http.Response:
+    def _join(self, request: server.Request) -> server.Response:
         row = request.json()
         with self._lock:
             group = self._groups.setdefault(row["group"], _Group())
             has_seat = group.join(row["member"], row["ttl_ms"] / 1000)
             parts = [[row["topics"][0], 0, 0]] if has_seat else []
-            return standin_http.make_json_response(
+            return server.make_json_response(
                 200,
                 {
                     "generation": group.generation,
@@ -167,20 +163,20 @@
                 },
             )
 
-    def _leave(self, request: standin_http.Request) -> standin_http.Response:
+    def _leave(self, request: server.Request) -> server.Response:
         row = request.json()
         with self._lock:
             group = self._groups.setdefault(row["group"], _Group())
             group.leave(row["member"])
-        return standin_http.make_json_response(200, {})
+        return server.make_json_response(200, {})
 
-    def _owners(self, request: standin_http.Request) -> standin_http.Response:
+    def _owners(self, request: server.Request) -> server.Response:
         name = request.query["group"]
         with self._lock:
             group = self._groups.setdefault(name, _Group())
             group.expire()
             parts = [[name, 0, group.owner, 0]] if group.owner else []
-            return standin_http.make_json_response(
+            return server.make_json_response(
                 200, {"generation": group.generation, "parts": parts}
             )
 
@@ -274,7 +270,7 @@
         self._running = 0
         self.lock = threading.Lock()
         loopback = settings.Address(host="127.0.0.1", port=0)
-        self.server = standin_http.Server(
+        self.server = server.Server(
             loopback, slots + 40, self._handle, self.count
         )
 
@@ -300,13 +296,13 @@
             "born": self._born,
         }
 
-    def _handle(self, request: standin_http.Request) -> standin_http.Response:
+    def _handle(self, request: server.Request) -> server.Response:
         expected = request.headers.get("expect-instance", self.name)
         if expected != self.name:
             return self._decline(request, 421)
         return self._serve(request)
 
-    def _serve(self, request: standin_http.Request) -> standin_http.Response:
+    def _serve(self, request: server.Request) -> server.Response:
         begun = self._begin(request)
         if begun is not None:
             return begun
@@ -315,7 +311,7 @@
             body = json.dumps(
                 {"path": request.path, "bytes": len(request.body)}
             ).encode()
-            return standin_http.Response(
+            return server.Response(
                 200,
                 [body],
                 {
@@ -326,9 +322,7 @@
         finally:
             self._end()
 
-    def _begin(
-        self, request: standin_http.Request
-    ) -> standin_http.Response | None:
+    def _begin(self, request: server.Request) -> server.Response | None:
         """Counts a request that begins to run; an answer if it does not."""
         request_id = request.headers.get("request-id", "")
         with self.lock:
@@ -346,10 +340,8 @@
         with self.lock:
             self._running -= 1
 
-    def _decline(
-        self, request: standin_http.Request, status: int
-    ) -> standin_http.Response:
-        return standin_http.Response(
+    def _decline(self, request: server.Request, status: int) -> server.Response:
+        return server.Response(
             status,
             [],
             {
@@ -360,7 +352,7 @@
             },
         )
 
-    def _signed(self, request: standin_http.Request) -> dict[str, str]:
+    def _signed(self, request: server.Request) -> dict[str, str]:
         request_id = request.headers.get("request-id", "")
         return {
             "Request-Id": request_id,
@@ -426,9 +418,9 @@
                 "at_hand": {"in_memory": self._memory, "on_disk": self._disk},
             }
 
-    def _serve(self, request: standin_http.Request) -> standin_http.Response:
+    def _serve(self, request: server.Request) -> server.Response:
         if request.path == "/report":
-            return standin_http.make_json_response(200, self._report())
+            return server.make_json_response(200, self._report())
         if request.path == "/order":
             return self._take_order(request)
         model, _, adapter = request.headers.get("model", "").partition("/")
@@ -453,9 +445,9 @@
                     self._runs_of[model] -= 1
                 self._end()
 
-        return standin_http.Response(
+        return server.Response(
             200,
-            standin_http.Body(self._events(request), finish),
+            server.Body(self._events(request), finish),
             {
                 "Content-Type": "text/event-stream",
                 "Weight-Versions": "1",
@@ -463,7 +455,7 @@
             },
         )
 
-    def _events(self, request: standin_http.Request) -> Iterator[bytes]:
+    def _events(self, request: server.Request) -> Iterator[bytes]:
         request_id = request.headers.get("request-id", "")
         counts = request.headers.get("token-counts", "1,30").split(",")
         last = max(1, int(counts[1]) // EVENT_TOKENS)
@@ -474,16 +466,14 @@
 
     # ---- Orders
 
-    def _take_order(
-        self, request: standin_http.Request
-    ) -> standin_http.Response:
+    def _take_order(self, request: server.Request) -> server.Response:
         row = request.json()
         with self.lock:
             self.counts.orders.append(
                 (time.monotonic(), row["holder"], row["fencing_token"])
             )
             status = self._carry_out(row)
-        return standin_http.make_json_response(status, {})
+        return server.make_json_response(status, {})
 
     def _carry_out(self, row: dict[str, Any]) -> int:
         if self._busy or row.get("expect", self._taken) != self._taken:
--- a/src/quetzalgauge/platform/store.py
+++ b/src/quetzalgauge/platform/store.py
@@ -12,7 +12,7 @@
 
 from quetzalgauge import exceptions
 from quetzalgauge import fields
-from quetzalgauge import httpclient
+from quetzalgauge.node import httpclient
 
 # Longest wait for an answer that the store does not hold back on purpose.
 CALL_TIMEOUT = datetime.timedelta(seconds=2)
--- a/src/quetzalgauge/standin_http.py
+++ b/src/quetzalgauge/standins/server.py
@@ -9,34 +9,29 @@
 from collections.abc import Iterator
 import dataclasses
 import errno
-import gzip
 import http
 import json
 import select
 import socket
 import threading
 import time
-from typing import Annotated
 from typing import Any
 from typing import TypeAlias
 import urllib.parse
 
 from cheroot import wsgi
-import pydantic
 
-from quetzalgauge import settings
+from quetzalgauge.node import settings
 
 _POLL_SECONDS = 0.05
 _MAX_SILENCE_SECONDS = 600
 _SOCKET_TIMEOUT_SECONDS = 30
 _LISTEN_BACKLOG = 512
-# Only what control processes read; callers' requests are passed on as they are.
-_COMPRESSED_PATHS = ("/status", "/instances", "/streams/")
-_LEAST_COMPRESSED_BYTES = 400
 _SOCKET_KEY = "quetzalgauge.socket"
 
 
-class Faults(pydantic.BaseModel):
+@dataclasses.dataclass(slots=True)
+class Faults:
     """The faults of one stand-in.
 
     Attributes:
@@ -52,15 +47,13 @@
         method: Only calls of this method are affected; empty: all.
     """
 
-    model_config = pydantic.ConfigDict(extra="forbid")
-
     outage: bool = False
-    slow_s: Annotated[float, pydantic.Field(ge=0)] = 0
-    late_s: Annotated[float, pydantic.Field(ge=0)] = 0
-    lost_acknowledgements: Annotated[int, pydantic.Field(ge=0)] = 0
-    silent: Annotated[int, pydantic.Field(ge=0)] = 0
-    cut_after_bytes: Annotated[int, pydantic.Field(ge=0)] | None = None
-    wrong_request_id: Annotated[int, pydantic.Field(ge=0)] = 0
+    slow_s: float = 0
+    late_s: float = 0
+    lost_acknowledgements: int = 0
+    silent: int = 0
+    cut_after_bytes: int | None = None
+    wrong_request_id: int = 0
     path_prefix: str = "/"
     method: str = ""
 
@@ -210,7 +203,7 @@
 
     def get(self) -> Faults:
         with self._lock:
-            return self._faults.model_copy()
+            return dataclasses.replace(self._faults)
 
     def set(self, faults: Faults) -> None:
         with self._lock:
@@ -311,7 +304,7 @@
         elif request.path.startswith("/standin/"):
             response = handle(request)
         else:
-            response = _compress(switch.apply(handle, request), request)
+            response = switch.apply(handle, request)
         status = http.HTTPStatus(response.status)
         start_response(
             f"{status.value} {status.phrase}", list(response.headers.items())
@@ -321,33 +314,26 @@
     return app
 
 
-def _compress(response: Response, request: Request) -> Response:
-    """Compresses a whole JSON body for a client that accepts it."""
-    accepted = request.headers.get("accept-encoding", "")
-    is_plain = "gzip" not in accepted or request.method != "GET"
-    if is_plain or not request.path.startswith(_COMPRESSED_PATHS):
-        return response
-    if not isinstance(response.body, list):
-        return response
-    data = b"".join(response.body)
-    if len(data) < _LEAST_COMPRESSED_BYTES:
-        return response
-    packed = gzip.compress(data, mtime=0)
-    headers = {
-        **response.headers,
-        "Content-Encoding": "gzip",
-        "Content-Length": str(len(packed)),
-    }
-    return dataclasses.replace(response, body=[packed], headers=headers)
-
-
 def _handle_faults(request: Request, switch: _FaultSwitch) -> Response:
     if request.method == "POST":
         try:
-            switch.set(Faults.model_validate_json(request.body or b"{}"))
-        except pydantic.ValidationError as error:
+            switch.set(_read_faults(request.body))
+        except (ValueError, TypeError) as error:
             return make_json_response(400, {"findings": str(error)})
-    return make_json_response(200, switch.get().model_dump())
+    return make_json_response(200, dataclasses.asdict(switch.get()))
+
+
+def _read_faults(body: bytes) -> Faults:
+    """Returns a set of faults; unknown names and wrong types are errors."""
+    given = json.loads(body or b"{}")
+    faults = Faults(**given)
+    for field in dataclasses.fields(faults):
+        value = getattr(faults, field.name)
+        if value is None or isinstance(value, (bool, str)):
+            continue
+        if not isinstance(value, (int, float)) or value < 0:
+            raise ValueError(f"{field.name}: {value!r} is no count or time")
+    return faults
 
 
 def _read_request(environ: dict[str, Any]) -> Request:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -1,201 +1,90 @@
-"""quetzalgauge-ctl: exit statuses, repeats after lost answers, findings."""
+"""The operators' command line, without a deployment."""
 
 import json
 
-import certificates
 import pytest
+import stubs
 
 from quetzalgauge import ctl
-from quetzalgauge import operators
-from quetzalgauge import settings
-from quetzalgauge import standin_http
-from quetzalgauge import tickets
-
-LOOPBACK = settings.Address(host="127.0.0.1", port=0)
-TICKET = """{
-  // A comment.
-  "ticket": 17,
-  "services": {"clocking-app": {"repeatable_paths": ["/standings"]}}
-}"""
-
-
-class FakeControl:
-    """Answers tickets like a control process that keeps them for ever."""
-
-    def __init__(self):
-        self.tickets = {}
-        self.calls = []
-        self.verdict = ""
-        self.server = standin_http.Server(LOOPBACK, 4, self.handle, dict)
-        self.server.start()
-
-    @property
-    def address(self):
-        return str(self.server.address)
-
-    def handle(self, request):
-        self.calls.append((request.method, request.path))
-        reply = standin_http.make_json_response
-        if request.path == "/tickets":
-            if self.verdict:
-                body = make_body(self.verdict, findings=["models.a: busy"])
-                return reply(422, body)
-            is_new = request.body not in self.tickets.values()
-            self.tickets[17] = request.body
-            verdict = "accepted" if is_new else "repeated"
-            return reply(200, make_body(verdict))
-        if request.path == "/tickets/17" and self.tickets:
-            return reply(200, make_body("accepted"))
-        if request.path.endswith("/drain"):
-            is_known = request.path in ("/drain", "/targets/lm-1/drain")
-            return reply(202 if is_known else 404, {"error": "no such target"})
-        if request.path == "/dump":
-            return reply(200, {"leases": {}})
-        if request.path in ("/healthz", "/readyz"):
-            return reply(200, {"ok": True})
-        return reply(404, {"error": "no such ticket"})
-
-
-def make_body(verdict, findings=()):
-    return {
-        "ticket": 17,
-        "verdict": verdict,
-        "offset": 41,
-        "findings": list(findings),
-    }
 
-
-@pytest.fixture
-def control():
-    fake = FakeControl()
-    yield fake
-    fake.server.stop()
-
-
-@pytest.fixture
-def ticket(tmp_path):
-    file = tmp_path / "ticket.json"
-    file.write_text(TICKET)
-    return str(file)
+ROWS = [
+    {"t": 1.0, "event": "target_gone", "target": "e9", "models": ["m1"]},
+    {"t": 8.0, "event": "placement", "target": "e1", "for": "m1", "order": "x"},
+    {"t": 8.5, "event": "placement", "target": "e2", "for": "m2", "order": "x"},
+    {"t": 8.6, "event": "store_lost", "topic": "targets"},
+    {"t": 9.0, "event": "sent", "request": "r1", "target": "e3", "model": "m1"},
+    {"t": 9.2, "event": "sent", "request": "r2", "target": "e3", "model": "m1"},
+    {"t": 9.4, "event": "target_gone", "target": "e3"},
+    {"t": 9.5, "event": "request", "request": "r1", "outcome": "refused 503"},
+    {"t": 9.9, "event": "target_found", "target": "e3"},
+]
+
+STATE = {
+    "instance": "qg-1",
+    "zone": "zone-a",
+    "ready": True,
+    "draining": False,
+    "seat": {"holding": True, "token": 7, "orders_for_s": 5.2},
+    "gateway": {
+        "configuration": 4,
+        "requests": [{"phase": "sent"}, {"phase": "waiting"}],
+    },
+    "boards": {"zone-a": {"age_s": 0.1}},
+    "targets": {"e1": {"age_s": 0.7}},
+}
 
 
 @pytest.fixture
-def run(monkeypatch, capsys):
-    def run_ctl(*arguments):
-        monkeypatch.setattr("sys.argv", ["quetzalgauge-ctl", *arguments])
-        with pytest.raises(SystemExit) as ended:
-            ctl.main()
-        output = capsys.readouterr()
-        return ended.value.code, output.out, output.err
-
-    return run_ctl
-
-
-def test_ticket_is_accepted_and_its_status_shown(run, control, ticket):
-    target = ("--control", control.address)
-    accepted = run("submit", ticket, *target)
-    assert accepted == (0, "ticket 17: accepted at offset 41\n", "")
-    assert run("status", "17", *target)[0] == 0
-    assert run("status", "18", *target)[0] == 3
-    code, text, _ = run("submit", ticket, *target, "--json")
-    assert (code, json.loads(text)["verdict"]) == (0, "repeated")
-
-
-def test_ticket_is_sent_as_plain_json(run, control, ticket):
-    """Guards against comments that make control load the lark parser."""
-    assert run("submit", ticket, "--control", control.address)[0] == 0
-    sent = control.tickets[17].decode()
-    assert sent == tickets.parse(TICKET, "ticket").text
-    assert json.loads(sent)["ticket"] == 17
-
-
-def test_lost_answer_is_followed_by_a_harmless_repeat(run, control, ticket):
-    faults = standin_http.Faults(lost_acknowledgements=1)
-    control.server.set_faults(faults)
-    code, text, _ = run("submit", ticket, "--control", control.address)
-    assert (code, "repeated" in text) == (0, True)
-    assert control.calls == [("POST", "/tickets")] * 2
-
-
-def test_outcome_that_stays_unknown_has_its_own_status(run, control, ticket):
-    control.server.set_faults(standin_http.Faults(lost_acknowledgements=9))
-    arguments = ("--control", control.address, "--wait", "0.1")
-    code, _, errors = run("submit", ticket, *arguments)
-    assert (code, "unknown outcome" in errors) == (4, True)
-
-
-def test_second_control_process_is_tried(run, control, ticket):
-    addresses = ("--control", "127.0.0.1:9", "--control", control.address)
-    assert run("submit", ticket, *addresses)[0] == 0
-    unreachable = ("--control", "127.0.0.1:9", "--wait", "0")
-    assert run("submit", ticket, *unreachable)[0] == 1
-
-
-def test_refused_ticket_prints_its_findings(run, control, ticket):
-    control.verdict = "over_capacity"
-    code, text, _ = run("submit", ticket, "--control", control.address)
-    assert (code, "models.a: busy" in text) == (3, True)
-
-
-def test_invalid_ticket_is_not_sent(run, control, tmp_path):
-    file = tmp_path / "bad.json"
-    file.write_text('{"ticket": 0,\n "services": {"a b": {}}}')
-    code, _, errors = run("submit", str(file), "--control", control.address)
-    assert (code, control.calls) == (2, [])
-    assert f"{file}:1: ticket: expected at least 1" in errors
-    assert f"{file}:2: services.a b: expected a name" in errors
-
-
-def test_check_reports_every_finding_of_each_kind(run, tmp_path, ticket):
-    assert run("check", ticket) == (0, f"{ticket}: valid ticket file\n", "")
-    file = tmp_path / "control.json"
-    file.write_text('{"log_url": "nowhere",\n"peer_listen": 5}')
-    code, text, _ = run("check", str(file), "--json")
-    report = json.loads(text)
-    assert (code, report["kind"]) == (2, "control")
-    assert any(":1: log_url" in line for line in report["findings"])
-    assert any(":2: peer_listen" in line for line in report["findings"])
-    file.write_text("{}")
-    assert run("check", str(file))[0] == 2
-    assert run("check", str(tmp_path / "missing.json"))[0] == 2
-
-
-def test_drain_dump_and_status(run, control):
-    target = ("--control", control.address)
-    assert run("drain", *target) == (0, "draining: process\n", "")
-    assert run("drain", "--target", "lm-1", *target)[0] == 0
-    assert run("drain", "--target", "lm-9", *target)[0] == 3
-    assert json.loads(run("dump", *target)[1]) == {"leases": {}}
-    healthy = run("status", *target)
-    assert healthy == (0, "healthy: true\nready: true\n", "")
-
-
-def test_wrong_usage_has_status_2(run):
-    assert run("submit")[0] == 2
-    assert run("no-such-command")[0] == 2
-
-
-def test_help_names_exit_statuses_and_examples(run):
-    assert "3 refused" in run("--help")[1]
-    assert "For example" in run("submit", "--help")[1]
-
-
-def test_operator_listener_with_tls(run, tmp_path):
-    """Guards against an operator that is shut out, or let in unknown."""
-    tls = certificates.make_tls(tmp_path)
-    handlers = operators.Handlers(
-        is_healthy=lambda: True,
-        is_ready=lambda: True,
-        metrics=lambda: b"",
-        dump=lambda: {"a": 1},
-        drain=lambda: None,
-    )
-    server = operators.OperatorServer(LOOPBACK, tls, handlers)
-    server.start()
-    target = ("dump", "--json", "--control", server.address)
-    authority = ("--authority", str(tls.authority))
-    own = ("--certificate", str(tls.certificate), "--key", str(tls.key))
-    code, text, _ = run(*target, *authority, *own)
-    assert (code, json.loads(text)) == (0, {"a": 1})
-    assert run(*target, *authority)[0] in (1, 4)
-    server.stop()
+def log(tmp_path):
+    path = tmp_path / "qg-1.log"
+    lines = [json.dumps(row) for row in ROWS]
+    path.write_text("\n".join(lines) + '\n{"t": 10.0, "event": "requ')
+    return path
+
+
+def explained(capsys, *given):
+    code = ctl.app(["explain", *map(str, given), "--json"])
+    rows = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+    return code, rows
+
+
+def test_explain_shows_a_request_and_what_was_believed(capsys, log):
+    """Guards against lines of other requests, targets and times."""
+    code, rows = explained(capsys, "r1", log)
+    assert code == ctl.DONE
+    assert rows == [ROWS[1], ROWS[3], ROWS[4], ROWS[6], ROWS[7]]
+
+
+def test_explain_says_when_nothing_is_found(capsys, log):
+    """Guards against an empty answer that looks like a quiet request."""
+    assert ctl.app(["explain", "r7", str(log)]) == ctl.FAILED
+    assert "no line about r7" in capsys.readouterr().out
+
+
+def test_status_shows_state_and_ages(capsys):
+    with stubs.run_http_server(lambda *_: (200, STATE)) as address:
+        assert ctl.app(["status", address]) == ctl.DONE
+    out = capsys.readouterr().out
+    assert f"qg-1 ({address}) in zone-a: ready, configuration 4" in out
+    assert "holds the zone with token 7, may order for 5.2 s" in out
+    assert "requests: 1 sent, 1 waiting" in out
+    assert 'target e1: {"age_s": 0.7}' in out
+
+
+def test_status_goes_on_after_an_instance_that_is_gone(capsys):
+    """Guards against one lost instance that hides all others."""
+    gone = stubs.make_closed_address()
+    with stubs.run_http_server(lambda *_: (200, STATE)) as address:
+        assert ctl.app(["status", gone, address]) == ctl.FAILED
+    out = capsys.readouterr().out
+    assert f"{gone}: no state" in out
+    assert f"qg-1 ({address})" in out
+
+
+def test_check_prints_all_findings(capsys, tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text('{\n"instance": 3\n}\n')
+    assert ctl.app(["check", str(path)]) == ctl.WRONG_USAGE
+    out = capsys.readouterr().out
+    assert f"{path}:2: instance: must be a text" in out
+    assert "listen: is missing" in out
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -7,7 +7,7 @@
 import stubs
 
 from quetzalgauge import exceptions
-from quetzalgauge import httpclient
+from quetzalgauge.node import httpclient
 
 _SECOND = datetime.timedelta(seconds=1)
 _TEXT = b"{" + b" " * 1000 + b"}"
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -9,20 +9,20 @@
 
 import pytest
 
-from quetzalgauge import standin_nodes
-from quetzalgauge import standin_site
+from quetzalgauge.platform import standin
+from quetzalgauge.standins import nodes
 
 pytestmark = pytest.mark.process
 
 MODELS = {
-    f"m{number}": standin_site.ModelFigures(adapters=12 if number < 2 else 0)
+    f"m{number}": standin.ModelFigures(adapters=12 if number < 2 else 0)
     for number in range(8)
 }
 
 
 @pytest.fixture(scope="module")
-def site():
-    one = standin_site.Site(["zone-a", "zone-b"], MODELS)
+def world():
+    one = standin.Site(["zone-a", "zone-b"], MODELS)
     one.start()
     yield one
     one.stop()
@@ -30,10 +30,10 @@
 
 
 @pytest.fixture(scope="module")
-def nodes(site, tmp_path_factory):
-    one = standin_nodes.Nodes(
-        tmp_path_factory.mktemp("nodes"),
-        str(site.store.server.address),
+def fleet(world, tmp_path_factory):
+    one = nodes.Nodes(
+        tmp_path_factory.mktemp("instances"),
+        str(world.store.server.address),
         ["zone-a", "zone-a", "zone-b"],
     )
     one.start_all()
@@ -57,7 +57,7 @@
 
 def make_headers(**headers):
     given = {
-        "Host": standin_site.HOST,
+        "Host": standin.HOST,
         "Request-Id": f"r{next(COUNT)}",
         "Deadline-Ms": "9000",
         "Token-Counts": "100,30",
@@ -68,44 +68,44 @@
     return given
 
 
-def test_a_plain_request_is_answered_by_its_service(nodes):
-    status, headers, body = ask(nodes.instances[0], "/look/1", "GET", None)
+def test_a_plain_request_is_answered_by_its_service(fleet):
+    status, headers, body = ask(fleet.instances[0], "/look/1", "GET", None)
     assert status == 200
     assert headers["Response-Stamp"].startswith("p-zone-")
     assert json.loads(body)["path"] == "/look/1"
 
 
-def test_a_stream_arrives_whole(nodes):
+def test_a_stream_arrives_whole(fleet):
     """Guards against pieces lost or doubled on the way through."""
     status, headers, body = ask(
-        nodes.instances[0], "/live/1", Model="m0", Request_Id="whole"
+        fleet.instances[0], "/live/1", Model="m0", Request_Id="whole"
     )
     assert (status, headers["Request-Id"]) == (200, "whole")
     ids = [line for line in body.split(b"\n") if line.startswith(b"id:")]
     assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4", b"id: 5"]
 
 
-def test_every_model_is_served_from_every_instance(nodes):
+def test_every_model_is_served_from_every_instance(fleet):
     """The pattern: more models than the engines hold."""
-    for instance in nodes.instances:
+    for instance in fleet.instances:
         for model in MODELS:
             status, _, _ = ask(instance, "/rare/1", Model=model)
             assert status == 200, model
 
 
-def test_an_adapter_is_fetched_for_its_first_request(nodes):
+def test_an_adapter_is_fetched_for_its_first_request(fleet):
     for number in range(1, 13):
-        status, _, _ = ask(nodes.instances[2], "/live/1", Model=f"m0/a{number}")
+        status, _, _ = ask(fleet.instances[2], "/live/1", Model=f"m0/a{number}")
         assert status == 200
 
 
-def test_a_burst_for_a_cold_model_is_one_load(site, nodes):
+def test_a_burst_for_a_cold_model_is_one_load(world, fleet):
     """The pattern: first requests for an idle model at many instances."""
-    ask(nodes.instances[0], "/rare/1", Model="m7")
+    ask(fleet.instances[0], "/rare/1", Model="m7")
     results = []
 
     def run(number):
-        instance = nodes.instances[number % 3]
+        instance = fleet.instances[number % 3]
         results.append(ask(instance, "/rare/1", Model="m6")[0])
 
     threads = [
@@ -118,12 +118,12 @@
     assert results == [200] * 18
 
 
-def test_an_unknown_route_is_answered_404(nodes):
-    assert ask(nodes.instances[0], "/nowhere/1")[0] == 404
+def test_an_unknown_route_is_answered_404(fleet):
+    assert ask(fleet.instances[0], "/nowhere/1")[0] == 404
 
 
-def test_a_body_over_the_limit_is_answered_413(nodes):
-    status, _, _ = ask(nodes.instances[0], "/book/1", body=b"x" * 70_000)
+def test_a_body_over_the_limit_is_answered_413(fleet):
+    status, _, _ = ask(fleet.instances[0], "/book/1", body=b"x" * 70_000)
     assert status == 413
 
 
@@ -149,10 +149,10 @@
         b"X-Folded: a\r\n b\r\n",
     ],
 )
-def test_framing_that_readers_could_read_differently_is_refused(nodes, head):
+def test_framing_that_readers_could_read_differently_is_refused(fleet, head):
     """Guards against a request smuggled inside another one."""
     received = send_raw(
-        nodes.instances[0],
+        fleet.instances[0],
         b"POST /book/1 HTTP/1.1\r\nHost: site.example\r\nRequest-Id: s1\r\n"
         + head
         + b"\r\nabcGET /look/1 HTTP/1.1\r\nHost: site.example\r\n\r\n",
@@ -170,19 +170,19 @@
         b"3\r\nabcd\r\n0\r\n\r\n",
     ],
 )
-def test_a_malformed_chunk_is_refused(nodes, body):
+def test_a_malformed_chunk_is_refused(fleet, body):
     """Guards against bodies that end elsewhere for another reader."""
     received = send_raw(
-        nodes.instances[0],
+        fleet.instances[0],
         b"POST /book/1 HTTP/1.1\r\nHost: site.example\r\nRequest-Id: s2\r\n"
         b"Transfer-Encoding: chunked\r\n\r\n" + body,
     )
     assert received.startswith(b"HTTP/1.1 400")
 
 
-def test_a_chunked_body_arrives_whole(nodes):
+def test_a_chunked_body_arrives_whole(fleet):
     received = send_raw(
-        nodes.instances[0],
+        fleet.instances[0],
         b"POST /book/1 HTTP/1.1\r\nHost: site.example\r\nRequest-Id: s3\r\n"
         b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
         b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
@@ -191,9 +191,9 @@
     assert b'"bytes": 5' in received
 
 
-def test_headers_over_the_limit_are_answered_431(nodes):
+def test_headers_over_the_limit_are_answered_431(fleet):
     received = send_raw(
-        nodes.instances[0],
+        fleet.instances[0],
         b"GET /look/1 HTTP/1.1\r\nHost: site.example\r\nX-Long: "
         + b"x" * 20_000
         + b"\r\n\r\n",
@@ -201,78 +201,78 @@
     assert received.startswith(b"HTTP/1.1 431")
 
 
-def test_headers_that_do_not_come_in_time_are_answered_408(nodes):
+def test_headers_that_do_not_come_in_time_are_answered_408(fleet):
     """Guards against connections that hold a thread for ever."""
     begun = time.monotonic()
-    received = send_raw(nodes.instances[0], b"GET /look/1 HTTP/1.1\r\nHo")
+    received = send_raw(fleet.instances[0], b"GET /look/1 HTTP/1.1\r\nHo")
     assert received.startswith(b"HTTP/1.1 408")
     assert time.monotonic() - begun < 4
 
 
-def test_a_caller_that_leaves_ends_its_stream_at_the_engine(site, nodes):
+def test_a_caller_that_leaves_ends_its_stream_at_the_engine(world, fleet):
     """Guards against work for callers that have gone."""
     headers = make_headers(Model="m0", Token_Counts="100,3000")
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    handle = socket.create_connection(nodes.instances[0].address, timeout=5)
+    handle = socket.create_connection(fleet.instances[0].address, timeout=5)
     handle.sendall(f"POST /live/1 HTTP/1.1\r\n{lines}\r\n".encode())
     assert handle.recv(100).startswith(b"HTTP/1.1 200")
     handle.close()
     until = time.monotonic() + 3
-    while nodes.instances[0].dump()["gateway"]["requests"]:
+    while fleet.instances[0].dump()["gateway"]["requests"]:
         assert time.monotonic() < until
         time.sleep(0.05)
 
 
-def test_a_new_configuration_is_in_force_everywhere(site, nodes):
+def test_a_new_configuration_is_in_force_everywhere(world, fleet):
     """Guards against instances that serve an older configuration."""
-    value = standin_site.make_configuration(MODELS, 2)
+    value = standin.make_configuration(MODELS, 2)
     row = dict(value["routes"][2], name="more", path_prefix="/more/")
     value["routes"].append(row)
-    site.write_configuration(value)
+    world.write_configuration(value)
     time.sleep(1.0)
-    for instance in nodes.instances:
+    for instance in fleet.instances:
         assert ask(instance, "/more/1", "GET", None)[0] == 200
 
 
-def test_a_rewound_configuration_changes_nothing(site, nodes):
+def test_a_rewound_configuration_changes_nothing(world, fleet):
     """Guards against a version that goes back."""
-    site.write_configuration(standin_site.make_configuration(MODELS, 1))
+    world.write_configuration(standin.make_configuration(MODELS, 1))
     time.sleep(0.5)
-    for instance in nodes.instances:
+    for instance in fleet.instances:
         assert ask(instance, "/more/1", "GET", None)[0] == 200
 
 
-def test_lost_history_of_the_store_is_read_anew(site, nodes):
+def test_lost_history_of_the_store_is_read_anew(world, fleet):
     """Guards against a follower that stops at expired records."""
     for topic in ("keyed.op", "keyed.servers", "keyed.holders"):
-        site.store.forget_history(topic)
-    value = standin_site.make_configuration(MODELS, 3)
+        world.store.forget_history(topic)
+    value = standin.make_configuration(MODELS, 3)
     row = dict(value["routes"][2], name="late", path_prefix="/late/")
     value["routes"].append(row)
-    site.write_configuration(value)
+    world.write_configuration(value)
     time.sleep(1.5)
-    for instance in nodes.instances:
+    for instance in fleet.instances:
         assert ask(instance, "/late/1", "GET", None)[0] == 200
 
 
-def test_a_target_that_ends_without_notice_is_left_out(site, nodes):
+def test_a_target_that_ends_without_notice_is_left_out(world, fleet):
     """Guards against requests lost with one target."""
-    site.remove("p-zone-b")
+    world.remove("p-zone-b")
     for _ in range(10):
-        for instance in nodes.instances:
+        for instance in fleet.instances:
             assert ask(instance, "/look/1", "GET", None)[0] == 200
 
 
-def test_metrics_and_state_can_be_read(nodes):
-    instance = nodes.instances[0]
+def test_metrics_and_state_can_be_read(fleet):
+    instance = fleet.instances[0]
     _, text = instance.get(instance.ports[3], "/metrics")
     assert b"quetzalgauge_first_part_seconds_bucket" in text
     assert instance.dump()["gateway"]["configuration"] == 3
 
 
-def test_a_planned_stop_cuts_off_no_stream(site, nodes):
+def test_a_planned_stop_cuts_off_no_stream(world, fleet):
     """Guards against streams that end with the process of their instance."""
-    instance = nodes.instances[1]
+    instance = fleet.instances[1]
     results = []
 
     def run():
@@ -294,22 +294,22 @@
     assert instance.process.wait(10) == 0
 
 
-def test_a_killed_holder_is_followed_by_another(site, nodes):
+def test_a_killed_holder_is_followed_by_another(world, fleet):
     """Guards against a zone whose engines get no orders any more."""
-    instance = nodes.instances[1]
-    nodes.kill(instance)
-    nodes.start(instance)
-    nodes.wait_ready(instance)
-    nodes.kill(nodes.instances[0])
+    instance = fleet.instances[1]
+    fleet.kill(instance)
+    fleet.start(instance)
+    fleet.wait_ready(instance)
+    fleet.kill(fleet.instances[0])
     until = time.monotonic() + 20
     while not instance.dump()["seat"]["holding"]:
         assert time.monotonic() < until
         time.sleep(0.2)
-    nodes.start(nodes.instances[0])
-    nodes.wait_ready(nodes.instances[0])
+    fleet.start(fleet.instances[0])
+    fleet.wait_ready(fleet.instances[0])
 
 
-def test_settings_that_are_wrong_are_reported_together(nodes, tmp_path):
+def test_settings_that_are_wrong_are_reported_together(fleet, tmp_path):
     """Guards against a start that fails on one fault after the other."""
     import os
     import subprocess
--- a/tests/test_standin_http.py
+++ b/tests/test_standins_server.py
@@ -6,8 +6,8 @@
 import pytest
 import urllib3
 
-from quetzalgauge import settings
-from quetzalgauge import standin_http
+from quetzalgauge.node import settings
+from quetzalgauge.standins import server
 
 LOOPBACK = settings.Address(host="127.0.0.1", port=0)
 
@@ -17,14 +17,14 @@
 
     def __init__(self):
         self.calls = 0
-        self.server = standin_http.Server(
+        self.server = server.Server(
             LOOPBACK, 8, self.handle, lambda: {"calls": self.calls}
         )
 
     def handle(self, request):
         self.calls += 1
         request_id = request.headers.get("x-request-id", "")
-        return standin_http.make_json_response(
+        return server.make_json_response(
             200, {"padding": "x" * 100}, {"X-Request-Id": request_id}
         )
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,7 +5,7 @@
 import hypothesis_settings
 import pytest
 
-from quetzalgauge import streams
+from quetzalgauge.node import streams
 
 EVENTS = b"".join(
     b'id: %d\ndata: {"text": "[DONE] \\n data: [DONE]"}\n\n' % number
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -4,7 +4,7 @@
 import queue
 import threading
 
-from quetzalgauge import tasks
+from quetzalgauge.node import tasks
 
 _SECOND = datetime.timedelta(seconds=1)
 
