--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -67,7 +67,9 @@
         zone: ids.AvailabilityZone,
         instance: ids.InstanceId,
         fleet: fleet_module.Fleet,
+        choose: placement.Chooser = placement.choose,
     ) -> None:
+        self._choose = choose
         self._zone = zone
         self._instance = instance
         self._fleet = fleet
@@ -277,7 +279,7 @@
         for _ in range(len(self._stocks)):
             choice = self._continue_intent(scene, now)
             if choice is None:
-                choice = placement.choose(scene, now, spares)
+                choice = self._choose(scene, now, spares)
             if choice is None:
                 break
             given.append(self._carry_out(choice, token, now))
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -21,6 +21,7 @@
 from quetzalgauge.core import holder as holder_module
 from quetzalgauge.core import notes
 from quetzalgauge.core import orders
+from quetzalgauge.core import placement
 from quetzalgauge.core import requests
 from quetzalgauge.core import seat as seat_module
 from quetzalgauge.core import targets
@@ -167,7 +168,9 @@
         lease: datetime.timedelta,
         draw: random.Random,
         now: datetime.timedelta,
+        choose: placement.Chooser = placement.choose,
     ) -> None:
+        self._choose = choose
         self._identity = identity
         self._fleet = fleet_module.Fleet(
             identity.availability_zone, health.Health()
@@ -425,6 +428,7 @@
             self._identity.availability_zone,
             self._identity.instance,
             self._fleet,
+            self._choose,
         )
         self._published_self = -1
         if self._config is not None:
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -15,6 +15,7 @@
 import datetime
 import itertools
 import math
+from typing import TypeAlias
 
 from quetzalgauge import ids
 from quetzalgauge.core import demand
@@ -122,6 +123,10 @@
     why: str
 
 
+# Chooses a load, as `choose` does.
+Chooser: TypeAlias = Callable[[Scene, datetime.timedelta, bool], Choice | None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Room:
     victims: tuple[ids.ModelName, ...]
--- a/src/quetzalgauge/emulation/run.py
+++ b/src/quetzalgauge/emulation/run.py
@@ -12,6 +12,7 @@
 from quetzalgauge.core import node
 from quetzalgauge.core import notes
 from quetzalgauge.core import orders
+from quetzalgauge.core import placement
 from quetzalgauge.core import requests
 from quetzalgauge.core import seat
 from quetzalgauge.core import targets
@@ -113,6 +114,7 @@
             LEASE,
             random.Random(self._world.draw.random()),
             self._world.now,
+            day.choose,
         )
         self._links: dict[ids.AvailabilityZone, _Instance] = {}
         self._numbers: dict[int, tuple[_Instance, ids.AvailabilityZone]] = {}
@@ -413,7 +415,9 @@
         deployment: deployments.Deployment,
         day: Day,
         seed: int,
+        choose: placement.Chooser,
     ) -> None:
+        self.choose = choose
         self.world = world_module.World(seed)
         self.deployment = deployment
         self._day = day
@@ -580,9 +584,21 @@
         return name, adapter
 
 
-def run_day(deployment: deployments.Deployment, day: Day, seed: int) -> Result:
-    """Emulates a day and returns its outcome."""
-    return _Run(deployment, day, seed).run()
+def run_day(
+    deployment: deployments.Deployment,
+    day: Day,
+    seed: int,
+    choose: placement.Chooser = placement.choose,
+) -> Result:
+    """Emulates a day and returns its outcome.
+
+    Args:
+        deployment: The deployment.
+        day: What happens.
+        seed: Seed of all that is drawn.
+        choose: How holders choose loads.
+    """
+    return _Run(deployment, day, seed, choose).run()
 
 
 def describe(result: Result) -> str:
--- /dev/null
+++ b/tests/test_core_beliefs.py
@@ -0,0 +1,138 @@
+"""What an instance believes of targets: the directory, health, retry budget."""
+
+import datetime
+
+import core_samples as samples
+import pytest
+
+from quetzalgauge.core import health
+from quetzalgauge.core import retrybudget
+from quetzalgauge.core import targets
+
+seconds = samples.seconds
+
+
+def change(*entries, **more):
+    return targets.RegisterChanged(tuple(entries), **more)
+
+
+def make_directory(*names):
+    directory = targets.Directory()
+    directory.update(
+        change(*[samples.make_target(one) for one in names], complete=True),
+        seconds(0),
+    )
+    return directory
+
+
+def names(directory):
+    return sorted(one.target for one in directory)
+
+
+def test_a_target_whose_entry_is_removed_is_gone_at_once():
+    directory = make_directory("a", "b")
+    directory.update(change(removed=("a",)), seconds(1))
+    assert names(directory) == ["b"]
+
+
+def test_entries_lost_in_an_outage_have_two_seconds_to_come_back():
+    """Guards against healthy targets dropped because the store was down."""
+    directory = make_directory("a", "b")
+    directory.update(change(removed=("a", "b"), after_outage=True), seconds(9))
+    assert names(directory) == ["a", "b"]
+    directory.update(change(samples.make_target("a")), seconds(10.5))
+    assert directory.expire(seconds(10.9)) == []
+    (gone,) = directory.expire(seconds(11))
+    assert gone.fields["target"] == "b"
+    assert names(directory) == ["a"]
+
+
+def test_a_leaving_target_lost_in_an_outage_is_gone():
+    """Guards against work for a target that had said good-bye."""
+    directory = targets.Directory()
+    directory.update(
+        change(samples.make_target("a", leaving=True), complete=True),
+        seconds(0),
+    )
+    directory.update(change(removed=("a",), after_outage=True), seconds(9))
+    assert names(directory) == []
+
+
+def test_an_entry_of_an_earlier_start_changes_nothing():
+    """Guards against a late heartbeat of a target that has restarted."""
+    directory = targets.Directory()
+    new = samples.make_target("a", incarnation=5, models=["m1"])
+    old = samples.make_target("a", incarnation=4, leaving=True)
+    directory.update(change(new, complete=True), seconds(0))
+    assert directory.update(change(old), seconds(1)) == []
+    assert directory.get("a") == new
+
+
+def test_an_unreadable_entry_does_not_remove_its_target():
+    """Guards against a foreign writer that takes targets out."""
+    directory = make_directory("a", "b")
+    directory.update(
+        change(samples.make_target("b"), complete=True, unreadable=("a",)),
+        seconds(1),
+    )
+    assert names(directory) == ["a", "b"]
+
+
+def test_a_flapping_target_is_left_out_for_longer_each_time():
+    """The pattern: targets that go down and up by turns."""
+    record = health.Health()
+    now = seconds(0)
+    pauses = []
+    for _ in range(6):
+        record.note_failure("a", now, severe=True)
+        began = now
+        while record.is_paused("a", now):
+            now += samples.ms(50)
+        pauses.append(now - began)
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == health.LONGEST_PAUSE
+
+
+def test_a_target_that_fails_some_requests_is_not_paused():
+    """The pattern: a grey target. Its failure rate counts, and fades."""
+    record = health.Health()
+    for number in range(20):
+        record.note_failure("a", seconds(number / 10), severe=False)
+    assert not record.is_paused("a", seconds(2))
+    assert record.failure_rate("a", seconds(1.9)) > 0.9
+    assert record.failure_rate("a", seconds(2) + health.FADE_TIME) == 0
+
+
+def test_an_answer_ends_a_pause():
+    record = health.Health()
+    record.note_failure("a", seconds(0), severe=True)
+    record.note_success("a", samples.ms(20), samples.ms(10))
+    assert not record.is_paused("a", samples.ms(11))
+
+
+@pytest.mark.parametrize("instances", [1, 4, 33])
+def test_retries_of_all_instances_stay_within_the_budget(instances):
+    """The pattern: every target fails, and every request asks for a repeat.
+
+    Guards against a retry storm: in any window all instances together may
+    repeat at most 0.2 of the requests and 52 besides.
+    """
+    window = seconds(10)
+    budgets = []
+    for _ in range(instances):
+        budget = retrybudget.RetryBudget(0.2, 52.0, window)
+        budget.share_among(instances)
+        budgets.append(budget)
+    spent = []
+    requests = 0
+    for step in range(3000):
+        now = datetime.timedelta(milliseconds=10 * step)
+        budget = budgets[step % instances]
+        budget.record_request()
+        requests += 1
+        while budget.try_spend(now):
+            spent.append(now)
+    for end in spent:
+        in_window = sum(end - window < at <= end for at in spent)
+        assert in_window <= 0.2 * 1000 + 52
+    assert len(spent) > 0.1 * requests
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,72 @@
+"""The log: structured, bounded, and never in the way of a request."""
+
+import io
+import json
+import threading
+import time
+
+import core_samples as samples
+
+from quetzalgauge.node import journal
+
+
+class Stalled(io.StringIO):
+    """A reader of the log that has stopped reading."""
+
+    def __init__(self):
+        super().__init__()
+        self.released = threading.Event()
+
+    def write(self, text):
+        self.released.wait(10)
+        return super().write(text)
+
+
+def rows(stream):
+    return [json.loads(line) for line in stream.getvalue().splitlines()]
+
+
+def make_journal(stream=None):
+    now = [0.0]
+    one = journal.Journal(lambda: samples.seconds(now[0]), stream)
+    return one, now
+
+
+def test_a_line_has_time_event_and_fields():
+    stream = io.StringIO()
+    one, now = make_journal(stream)
+    now[0] = 1.25
+    one.write("sent", {"request": "r1", "target": "e1"})
+    one.flush()
+    assert rows(stream) == [
+        {"t": 1.25, "event": "sent", "request": "r1", "target": "e1"}
+    ]
+
+
+def test_a_reader_that_stalls_holds_nobody_up():
+    """Guards against requests that wait for the log."""
+    stream = Stalled()
+    one, now = make_journal(stream)
+    threading.Thread(target=one.run, daemon=True).start()
+    began = time.monotonic()
+    for number in range(journal.MAX_WAITING + 500):
+        now[0] = float(number)
+        one.write("request", {"request": str(number)})
+    assert time.monotonic() - began < 5
+    assert one.total_left_out >= 100
+    stream.released.set()
+
+
+def test_under_load_minor_lines_are_left_out_and_counted():
+    """Guards against a log that grows with the load without bound."""
+    stream = io.StringIO()
+    one, now = make_journal(stream)
+    for number in range(journal.LINES_PER_SECOND + 50):
+        one.write("sent", {"request": str(number)})
+    one.write("request", {"request": "last"})
+    one.flush()
+    found = rows(stream)
+    assert len(found) == journal.LINES_PER_SECOND + 1
+    assert found[-1]["event"] == "request"
+    assert found[-1]["left_out_before"] == 50
+    assert one.total_left_out == 50
