Close models before they are unloaded; look up replicas once a review

Change: victims that run requests are closed to new ones first; the unload is ordered when they have ended, and the target takes other orders meanwhile. The wait is judged as 1.5 s, and replicas of busy models weigh half.

Each report made the holder look at each target of the region for each model. Change: one survey of the region for each review, and one review for the reports of 8 ms.

Tried and left out: refusing a request for a rare model at arrival when its load is contended and would be later than the aim.

--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -218,31 +218,27 @@
             if self.serves(one, model, now)
         ]
 
-    def holds(
-        self,
-        one: targets.Description,
-        model: ids.ModelName,
-        now: datetime.timedelta,
-        soon: datetime.timedelta = datetime.timedelta.max,
-    ) -> bool:
-        """Whether a target has a model or is loading it.
-
-        Args:
-            one: The target.
-            model: The model.
-            now: The time.
-            soon: A load that ends later does not count. If it is given, a
-                load that is only planned does not count either.
+    def held(
+        self, one: targets.Description, now: datetime.timedelta
+    ) -> list[tuple[ids.ModelName, datetime.timedelta, bool]]:
+        """Returns the models that a target has, is loading, or is to load.
+
+        Each with the time at which it takes requests and whether room for it
+        is still being made. Models that are being unloaded are left out.
         """
         view = self._current_view(one, now)
         if view is None:
-            return any(loaded.name == model for loaded in one.models)
-        ready = view.ready_at.get(model)
-        if ready is None or model in view.closing:
-            return False
-        if soon == datetime.timedelta.max:
-            return True
-        return ready <= soon and model not in view.planned
+            return [(loaded.name, now, False) for loaded in one.models]
+        return [
+            (model, ready, model in view.planned)
+            for model, ready in view.ready_at.items()
+            if model not in view.closing
+        ]
+
+    def is_closing(self, target: ids.TargetId, model: ids.ModelName) -> bool:
+        """Whether a holder waits for the end of requests for a model."""
+        view = self._view(target)
+        return view is not None and model in view.closing
 
     def serves(
         self,
--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -368,6 +368,7 @@
             if refused is not None:
                 return refused
             self._wait(call)
+            self._note_wait(call)
             return []
         return self._go_to(call, one, now)
 
@@ -386,7 +387,7 @@
             if one.target not in call.ran_on
             and not fleet.is_full(one.target, now)
             and fleet.load(one.target) < self._limit(one, model)
-            and self._lasts(one, call, now)
+            and not one.leaving
         ]
         # A target that just failed is better than none.
         chosen = [
@@ -406,7 +407,7 @@
             return min(
                 chosen,
                 key=lambda one: (
-                    fleet.busy_until(one, now) > now + BUSY_GRACE,
+                    max(fleet.busy_until(one, now), now + BUSY_GRACE),
                     fleet_module.hash_pair(adapter, one.target),
                 ),
                 default=None,
@@ -419,15 +420,6 @@
         factor = PLAIN_LIMIT if model is None else ENGINE_LIMIT
         return max(1.0, one.slots * factor)
 
-    def _lasts(
-        self,
-        one: targets.Description,
-        call: _Call,
-        now: datetime.timedelta,
-    ) -> bool:
-        """Whether a target that will vanish lasts for a request."""
-        return not one.leaving
-
     def _go_to(
         self, call: _Call, one: targets.Description, now: datetime.timedelta
     ) -> list[requests.Action]:
@@ -439,6 +431,13 @@
         ready = self._fleet.adapter_ready_at(one, model, adapter, now)
         if ready is not None and ready <= now:
             return self._send(call, now)
+        free_at = self._fleet.busy_until(one, now)
+        if ready is None and free_at > call.start_by - patience.ANSWER_MARGIN:
+            call.judged = {
+                "expected_ms": _milliseconds(free_at - call.arrived),
+                "allowed_ms": _milliseconds(call.start_by - call.arrived),
+            }
+            return self._give_up(call, "too_late", now, free_at - now)
         call.phase = _Phase.ADAPTER
         call.adapter_by = now + ADAPTER_WAIT
         self._wishes.add_adapter(call.token, one.target, model, adapter)
@@ -488,7 +487,7 @@
         call.phase = _Phase.SENT
         call.sent_at = now
         self._fleet.count(one.target, call.head.model, call.head.adapter, 1)
-        self._wishes.note_running(is_idle=False)
+        self._wishes.note_running(is_awaited=False)
         may_repeat = self._may_run_again(call, one, now)
         first_by = patience.first_part_by(
             route,
@@ -709,7 +708,8 @@
             call.target.target, call.head.model, call.head.adapter, -1
         )
         self._wishes.note_running(
-            is_idle=call.head.model is not None
+            is_awaited=call.head.model is not None
+            and self._fleet.is_closing(call.target.target, call.head.model)
             and not self._fleet.runs(call.target.target, call.head.model)
         )
         call.phase = _Phase.WAITING
@@ -892,6 +892,20 @@
 
     # ---- Notes
 
+    def _note_wait(self, call: _Call) -> None:
+        self._notes.append(
+            notes.Note(
+                "waiting",
+                {
+                    "request": call.head.request_id,
+                    "route": call.route.name,
+                    "model": call.head.model,
+                    **call.judged,
+                    "configuration": call.version,
+                },
+            )
+        )
+
     def _note_send(
         self, call: _Call, one: targets.Description, now: datetime.timedelta
     ) -> None:
--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 import dataclasses
 import datetime
+import functools
 from typing import Any
 
 from quetzalgauge import ids
@@ -19,7 +20,7 @@
 from quetzalgauge.core import orders
 from quetzalgauge.core import placement
 from quetzalgauge.core import stock
-from quetzalgauge.core import targets
+from quetzalgauge.core import survey
 
 # Loads from the weight store at full speed (the sites' sheets: 2 to 4 at once
 # over all targets).
@@ -36,6 +37,8 @@
 STORE_MARGIN = 0.9
 # How often the holder looks for something to do without any event.
 REVIEW_INTERVAL = datetime.timedelta(milliseconds=50)
+# Least pause between reviews that reports cause; loads take 50 times as long.
+ACT_INTERVAL = datetime.timedelta(milliseconds=8)
 # How often loads that nobody waits for are looked at.
 SPARES_INTERVAL = datetime.timedelta(milliseconds=200)
 # How often counts of running requests alone are published.
@@ -83,6 +86,7 @@
         self._revision = 0
         self._counts_at = _ZERO
         self._review_at = _ZERO
+        self._acted_at = -ACT_INTERVAL
         self._spares_at = _ZERO
         self._seen: set[ids.TargetId] = set()
         self._placed: dict[ids.ModelName, int] = {}
@@ -216,6 +220,16 @@
 
     # ---- Decisions
 
+    def review_soon(self, now: datetime.timedelta) -> None:
+        """Makes `act` due, though not at once after the last time.
+
+        Reports of many instances arrive at any moment; one review for several
+        of them keeps the cost bounded.
+        """
+        self._review_at = min(
+            self._review_at, max(now, self._acted_at + ACT_INTERVAL)
+        )
+
     def act(
         self,
         token: int,
@@ -230,6 +244,7 @@
             now: The time.
         """
         self._review_at = now + REVIEW_INTERVAL
+        self._acted_at = now
         self._demand.expire(now)
         actions: list[orders.Action] = []
         for one in self._stocks.values():
@@ -271,20 +286,34 @@
     def _order_models(
         self, token: int, now: datetime.timedelta
     ) -> list[orders.Order]:
-        given = []
+        given: list[orders.Order] = []
+        if not any(one.can_order(now) for one in self._stocks.values()):
+            return given
         scene = self._make_scene(now)
         spares = now >= self._spares_at
         if spares:
             self._spares_at = now + SPARES_INTERVAL
-        for _ in range(len(self._stocks)):
+        for _ in range(2 * len(self._stocks)):
             choice = self._continue_intent(scene, now)
             if choice is None:
-                choice = self._choose(scene, now, spares)
+                choice = self._choose(
+                    dataclasses.replace(scene, planned=self._planned()),
+                    now,
+                    spares,
+                )
             if choice is None:
                 break
-            given.append(self._carry_out(choice, token, now))
+            order = self._carry_out(choice, token, now)
+            if order is not None:
+                given.append(order)
         return given
 
+    def _planned(self) -> dict[ids.TargetId, ids.ModelName]:
+        return {
+            target: intent.choice.model
+            for target, intent in self._intents.items()
+        }
+
     def _continue_intent(
         self, scene: placement.Scene, now: datetime.timedelta
     ) -> placement.Choice | None:
@@ -304,19 +333,49 @@
             if not wanted or spec is None:
                 del self._intents[target]
                 continue
-            if one.can_order(now) and spec.size_mb <= one.free_mb(now):
-                ready_at = now + one.load_time(choice.model)
+            if not one.can_order(now):
+                continue
+            ready_at = now + one.load_time(choice.model)
+            if spec.size_mb <= one.free_mb(now):
                 return dataclasses.replace(
                     choice, stock=one, victims=(), ready_at=ready_at
                 )
+            left = tuple(
+                name for name in choice.victims if name in one.replicas
+            )
+            if not left:
+                # More was loaded than expected; the choice is made anew.
+                del self._intents[target]
+            elif not self._count_runs(target, left):
+                return dataclasses.replace(
+                    choice,
+                    stock=one,
+                    victims=left,
+                    ready_at=ready_at + stock.UNLOAD_TIME * len(left),
+                )
         return None
 
+    def _count_runs(
+        self, target: ids.TargetId, models: Iterable[ids.ModelName]
+    ) -> int:
+        running = self._demand.running()
+        return sum(running.of_model(target, name) for name in models)
+
     def _carry_out(
         self, choice: placement.Choice, token: int, now: datetime.timedelta
-    ) -> orders.Order:
+    ) -> orders.Order | None:
+        """Returns the next order of a load, None if requests must end first.
+
+        An unload waits for them, and the target takes no other order
+        meanwhile. So the models that make way get no new requests first.
+        """
         one = choice.stock
         if choice.victims:
-            self._intents[one.target] = _Intent(choice, now + INTENT_TIME)
+            if one.target not in self._intents:
+                self._intents[one.target] = _Intent(choice, now + INTENT_TIME)
+            if self._count_runs(one.target, choice.victims):
+                self._note_closing(choice, now)
+                return None
             order = one.make_order(
                 orders.Operation.UNLOAD, choice.victims[0], None, token, now
             )
@@ -335,81 +394,48 @@
         return one.engine.models[choice.model].store_load
 
     def _make_scene(self, now: datetime.timedelta) -> placement.Scene:
+        found = survey.Survey(self._fleet, now)
+
+        @functools.cache
+        def rate(model: ids.ModelName) -> float:
+            return self._demand.rate(model, now)
+
+        @functools.cache
+        def count_elsewhere(model: ids.ModelName) -> int:
+            # A busy model that another zone only plans to load, or brings from
+            # the weight store, is served by nobody yet.
+            is_busy = rate(model) >= placement.BUSY_RATE
+            return found.replicas_outside(
+                self._zone, model, now + LONG_LOAD if is_busy else None
+            )
+
         return placement.Scene(
             tuple(self._stocks.values()),
+            {},
             self._demand.wishes(),
             self._demand.busy_models(placement.BUSY_RATE, now),
-            lambda model: self._demand.rate(model, now),
+            rate,
             self._demand.running(),
-            lambda model: self._count_elsewhere(model, now),
-            self._count_copies,
-            lambda model: self._crowding(model, now),
-            lambda model: self._demand.adapter_rate(model, now),
-            lambda target, model: self._is_guard(target, model, now),
-            self._store_allowance(now),
-            self._pressure(now),
+            count_elsewhere,
+            found.copies_besides,
+            found.crowding,
+            functools.cache(
+                lambda model: self._demand.adapter_rate(model, now)
+            ),
+            lambda target, model: found.guard(model) == target,
+            self._store_allowance(found, now),
+            self._pressure(found, now),
         )
 
-    def _crowding(self, model: ids.ModelName, now: datetime.timedelta) -> float:
-        shares = [
-            self._fleet.load(one.target) / max(1, one.slots)
-            for one in self._fleet.directory
-            if not one.leaving and self._fleet.holds(one, model, now)
-        ]
-        return min(shares, default=0.0)
-
-    def _pressure(self, now: datetime.timedelta) -> float:
+    def _pressure(self, found: survey.Survey, now: datetime.timedelta) -> float:
         """Returns how much other loads want a target's time, from 0 to 1."""
-        engines = max(1, sum(1 for _ in self._engine_targets()))
+        engines = max(1, found.engines)
         rare = self._demand.rare_rate(placement.BUSY_RATE, now)
         return min(1.0, rare / engines / FULL_PRESSURE)
 
-    def _is_guard(
-        self,
-        target: ids.TargetId,
-        model: ids.ModelName,
-        now: datetime.timedelta,
-    ) -> bool:
-        """Whether a target stays free to fetch adapters of a model.
-
-        All holders choose the same one of the targets that have the model.
-        """
-        holding = [
-            one.target
-            for one in self._fleet.directory
-            if not one.leaving
-            and not self._fleet.health.is_paused(one.target, now)
-            and self._fleet.holds(one, model, now)
-        ]
-        chosen = min(
-            holding,
-            key=lambda one: fleet_module.hash_pair(model, one),
-            default=None,
-        )
-        return chosen == target
-
-    def _count_elsewhere(
-        self, model: ids.ModelName, now: datetime.timedelta
+    def _store_allowance(
+        self, found: survey.Survey, now: datetime.timedelta
     ) -> int:
-        # A busy model that another zone only plans to load, or brings from the
-        # weight store, is served by nobody yet.
-        soon = datetime.timedelta.max
-        if self._demand.rate(model, now) >= placement.BUSY_RATE:
-            soon = now + LONG_LOAD
-        return sum(
-            one.availability_zone != self._zone
-            and self._fleet.holds(one, model, now, soon)
-            for one in self._fleet.directory
-        )
-
-    def _count_copies(self, model: ids.ModelName, besides: ids.TargetId) -> int:
-        return sum(
-            model in one.copies.on_disk
-            for one in self._fleet.directory
-            if one.target != besides
-        )
-
-    def _store_allowance(self, now: datetime.timedelta) -> int:
         """Returns how many loads from the weight store may begin now."""
         if self._config is None:
             return 0
@@ -417,7 +443,7 @@
             (one.engine.store_loads_per_s for one in self._stocks.values()),
             default=0.0,
         )
-        zones = len({one.availability_zone for one in self._engine_targets()})
+        zones = len(found.engine_zones)
         share = rate * STORE_WINDOW.total_seconds() * STORE_MARGIN
         allowed = max(1, int(share / max(1, zones)))
         self._store_loads = [
@@ -426,7 +452,7 @@
         # Further loads at the same time only slow each other down.
         loading = sum(
             self._fleet.busy_until(one, now) - now > LONG_LOAD
-            for one in self._engine_targets()
+            for one in self._fleet.directory
         )
         own = sum(
             one.free_at - now > LONG_LOAD for one in self._stocks.values()
@@ -438,11 +464,6 @@
             share - own,
         )
 
-    def _engine_targets(self) -> Iterable[targets.Description]:
-        for one in self._fleet.directory:
-            if one.models or one.copies.on_disk:
-                yield one
-
     # ---- What is published
 
     def _publish(self, now: datetime.timedelta) -> None:
@@ -519,15 +540,16 @@
     def _view(
         self, one: stock.Stock, running: int, now: datetime.timedelta
     ) -> exchange.TargetView:
+        intent = self._intents.get(one.target)
+        closing = intent.choice.victims if intent is not None else ()
         replicas = [
             exchange.ReplicaView(
                 name,
                 replica.ready_at - now,
-                replica.state is stock.State.UNLOADING,
+                replica.state is stock.State.UNLOADING or name in closing,
             )
             for name, replica in one.replicas.items()
         ]
-        intent = self._intents.get(one.target)
         if intent is not None and intent.choice.model not in one.replicas:
             replicas.append(
                 exchange.ReplicaView(
@@ -550,6 +572,29 @@
 
     # ---- Notes
 
+    def _note_closing(
+        self, choice: placement.Choice, now: datetime.timedelta
+    ) -> None:
+        self._notes.append(
+            notes.Note(
+                "placement",
+                {
+                    "target": choice.stock.target,
+                    "order": "close",
+                    "for": choice.model,
+                    "victims": list(choice.victims),
+                    "running": self._count_runs(
+                        choice.stock.target, choice.victims
+                    ),
+                    "why": choice.why,
+                    "score": round(choice.score, 2),
+                    "ready_in_ms": round(
+                        (choice.ready_at - now).total_seconds() * 1000
+                    ),
+                },
+            )
+        )
+
     def _note_choice(
         self,
         choice: placement.Choice,
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -414,7 +414,8 @@
         self._holder.use_report(message, now)
         if is_new:
             self._board_at = now
-        return self._act_as_holder(now)
+        self._holder.review_soon(now)
+        return []
 
     def _follow_seat(self, now: datetime.timedelta) -> list[Action]:
         if self._seat.is_holding == (self._holder is not None):
@@ -493,7 +494,7 @@
             if is_own:
                 assert self._holder is not None
                 self._holder.use_report(report, now)
-                actions += self._act_as_holder(now)
+                self._holder.review_soon(now)
             else:
                 actions.append(Tell(zone, report))
         self._fleet.note_reported(running)
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -37,9 +37,9 @@
 # A model with more requests a second than this should be loaded in each zone.
 BUSY_RATE = 1.5
 # Worth of the first replica of a busy model in a zone.
-REPLICA_WORTH = 0.5
+REPLICA_WORTH = 0.25
 # Worth of keeping the last replica of a busy model in a zone.
-LAST_REPLICA_WORTH = 2.0
+LAST_REPLICA_WORTH = 1.0
 # Share of the expected requests that a further replica is worth.
 SPARE_SHARE = 0.03
 # What is loaded must be worth this many times what makes way, since rates are
@@ -56,7 +56,7 @@
 # A model that was loaded a moment ago stays until its requests have come.
 SHORTEST_STAY = datetime.timedelta(milliseconds=300)
 # Usual rest of a request that is running when its model is to be unloaded.
-RUN_REST = datetime.timedelta(seconds=3)
+RUN_REST = datetime.timedelta(seconds=1.5)
 # A target that could do it sooner by more than this is waited for.
 WAIT_GAIN = datetime.timedelta(milliseconds=250)
 # Most models that make way for one.
@@ -71,6 +71,7 @@
 
     Attributes:
         stocks: The targets that the holder orders.
+        planned: For each target on which room is being made, for which model.
         wishes: For each wanted model, when its requests become late.
         busy: Models that are asked for often, also if all requests for them
             are refused because nobody has them.
@@ -89,6 +90,7 @@
     """
 
     stocks: Sequence[stock.Stock]
+    planned: Mapping[ids.TargetId, ids.ModelName]
     wishes: Mapping[ids.ModelName, Sequence[datetime.timedelta]]
     busy: Sequence[ids.ModelName]
     rate: Callable[[ids.ModelName], float]
@@ -144,7 +146,11 @@
         now: The time.
         spares: Whether models that nobody waits for count.
     """
-    free = [one for one in scene.stocks if one.can_order(now)]
+    free = [
+        one
+        for one in scene.stocks
+        if one.can_order(now) and one.target not in scene.planned
+    ]
     if not free or not (spares or scene.wishes or scene.busy):
         return None
     rooms = _Rooms(scene, now)
@@ -211,6 +217,7 @@
     if spares:
         for one in scene.stocks:
             names.update(dict.fromkeys(one.engine.models))
+    here.update(scene.planned.values())
     return [name for name in names if name not in here]
 
 
--- /dev/null
+++ b/src/quetzalgauge/core/survey.py
@@ -0,0 +1,107 @@
+"""What all targets hold at one moment, by model.
+
+A holder weighs hundreds of possible loads at a time. Each asks where a model
+lies, so that is looked up once for all of them.
+"""
+
+import dataclasses
+import datetime
+
+from quetzalgauge import ids
+from quetzalgauge.core import fleet as fleet_module
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Held:
+    target: ids.TargetId
+    zone: ids.AvailabilityZone
+    ready_at: datetime.timedelta
+    is_planned: bool
+    is_paused: bool
+    share: float
+
+
+class Survey:
+    """The targets as a holder sees them; valid for one decision."""
+
+    def __init__(
+        self, fleet: fleet_module.Fleet, now: datetime.timedelta
+    ) -> None:
+        self._held: dict[ids.ModelName, list[_Held]] = {}
+        self._copies: dict[ids.ModelName, set[ids.TargetId]] = {}
+        self._guards: dict[ids.ModelName, ids.TargetId | None] = {}
+        self.engines = 0
+        self.engine_zones: set[ids.AvailabilityZone] = set()
+        for one in fleet.directory:
+            if not one.models and not one.copies.on_disk:
+                continue
+            self.engines += 1
+            self.engine_zones.add(one.availability_zone)
+            for model in one.copies.on_disk:
+                self._copies.setdefault(model, set()).add(one.target)
+            if one.leaving:
+                continue
+            share = fleet.load(one.target) / max(1, one.slots)
+            is_paused = fleet.health.is_paused(one.target, now)
+            for model, ready_at, is_planned in fleet.held(one, now):
+                self._held.setdefault(model, []).append(
+                    _Held(
+                        one.target,
+                        one.availability_zone,
+                        ready_at,
+                        is_planned,
+                        is_paused,
+                        share,
+                    )
+                )
+
+    def crowding(self, model: ids.ModelName) -> float:
+        """Returns how full the emptiest target with a model is, 0 without."""
+        return min(
+            (one.share for one in self._held.get(model, ())), default=0.0
+        )
+
+    def guard(self, model: ids.ModelName) -> ids.TargetId | None:
+        """Returns the target that stays free to fetch adapters of a model.
+
+        All holders choose the same one of the targets that have the model.
+        """
+        if model not in self._guards:
+            self._guards[model] = min(
+                (
+                    one.target
+                    for one in self._held.get(model, ())
+                    if not one.is_paused
+                ),
+                key=lambda target: fleet_module.hash_pair(model, target),
+                default=None,
+            )
+        return self._guards[model]
+
+    def replicas_outside(
+        self,
+        zone: ids.AvailabilityZone,
+        model: ids.ModelName,
+        ready_by: datetime.timedelta | None,
+    ) -> int:
+        """Returns the number of targets of other zones that hold a model.
+
+        Args:
+            zone: The zone that does not count.
+            model: The model.
+            ready_by: If given, what is ready later or only planned does not
+                count.
+        """
+        return sum(
+            one.zone != zone
+            and (
+                ready_by is None
+                or (one.ready_at <= ready_by and not one.is_planned)
+            )
+            for one in self._held.get(model, ())
+        )
+
+    def copies_besides(self, model: ids.ModelName, target: ids.TargetId) -> int:
+        """Returns the number of other targets with a copy of a model."""
+        found = self._copies.get(model, set())
+        return len(found) - (target in found)
--- a/src/quetzalgauge/core/wishes.py
+++ b/src/quetzalgauge/core/wishes.py
@@ -84,15 +84,15 @@
             self._adapter_arrivals.count(model)
         self._changed = True
 
-    def note_running(self, is_idle: bool) -> None:
+    def note_running(self, is_awaited: bool) -> None:
         """A request has started or ended on a target.
 
         Args:
-            is_idle: Whether it was this instance's last one for its model
-                there. The holder waits for that to unload the model.
+            is_awaited: Whether the holder waits for its end, to unload the
+                model, and it was this instance's last one.
         """
         self._changed = True
-        self._urgent = self._urgent or is_idle
+        self._urgent = self._urgent or is_awaited
 
     def set_waiting(
         self,
--- a/src/quetzalgauge/node/journal.py
+++ b/src/quetzalgauge/node/journal.py
@@ -20,7 +20,7 @@
 # Lines a second beyond which only the important ones are written.
 LINES_PER_SECOND = 400
 # Events that are left out first: each is followed by a line on its request.
-_MINOR = frozenset({"sent", "order_answered", "target_changed"})
+_MINOR = frozenset({"sent", "waiting", "order_answered", "target_changed"})
 
 
 class _Handler(logging.Handler):
--- a/tests/test_core_gateway.py
+++ b/tests/test_core_gateway.py
@@ -1,5 +1,7 @@
 """Requests of callers in the core: where, when and how often they are sent."""
 
+import dataclasses
+
 import core_samples as samples
 import pytest
 
@@ -302,6 +304,25 @@
     assert (refusal.status, refusal.run) == (503, False)
 
 
+def test_no_adapter_is_waited_for_that_cannot_come_in_time():
+    """The pattern: targets that load a model take no order for an adapter.
+
+    Guards against requests that go from one busy target to the next until
+    their caller leaves. Seen on trouble-1 at Ferreira: 19 requests.
+    """
+    bench = engine_bench()
+    busy = [
+        dataclasses.replace(
+            samples.view(name, ["m0"]), busy_for=samples.seconds(6)
+        )
+        for name in ("e1", "e2")
+    ]
+    bench.publish(*busy)
+    (refusal,) = bench.arrive("/live/1", model="m0", adapter="a3")
+    assert (refusal.status, refusal.run) == (503, False)
+    assert refusal.retry_after > samples.seconds(5)
+
+
 def test_a_stopping_process_refuses_streams_that_it_would_cut():
     """Guards against a late stream that breaks when the process ends.
 
--- /dev/null
+++ b/tests/test_core_holder.py
@@ -0,0 +1,153 @@
+"""What a holder orders, and what it tells instances meanwhile."""
+
+import core_samples as samples
+import pytest
+
+from quetzalgauge.core import exchange
+from quetzalgauge.core import fleet as fleet_module
+from quetzalgauge.core import health
+from quetzalgauge.core import holder as holder_module
+from quetzalgauge.core import orders
+from quetzalgauge.core import targets
+
+NAMES = [f"m{number}" for number in range(6)]
+
+
+class Bench:
+    """A holder of one zone with engines that hold three models each."""
+
+    def __init__(self, loaded, disk=NAMES):
+        self.now = samples.seconds(100)
+        self.fleet = fleet_module.Fleet(samples.ZONE, health.Health())
+        self.holder = holder_module.Holder(samples.ZONE, "qg-1", self.fleet)
+        self.holder.configure(samples.make_configuration())
+        entries = tuple(
+            samples.make_target(
+                name, samples.ENGINES, slots=48, models=models, disk=disk
+            )
+            for name, models in loaded.items()
+        )
+        self.fleet.directory.update(
+            targets.RegisterChanged(entries, complete=True), self.now
+        )
+        self.holder.use_directory()
+        self.act()
+        for name, models in loaded.items():
+            status = samples.make_status(models, disk=disk)
+            self.holder.use_status(
+                orders.StatusRead(name, 1, status, self.now), self.now
+            )
+        self.advance(1.0)
+
+    def act(self):
+        return [
+            action.order
+            for action in self.holder.act(
+                1, self.now + samples.seconds(5), self.now
+            )
+            if isinstance(action, orders.Give)
+        ]
+
+    def advance(self, seconds):
+        self.now += samples.seconds(seconds)
+        return self.act()
+
+    def report(self, wishes=(), running=()):
+        self.holder.use_report(
+            exchange.Report(
+                "qg-2",
+                tuple(
+                    exchange.Wish(model, 4, (samples.seconds(4),) * 4)
+                    for model in wishes
+                ),
+                (),
+                tuple(
+                    exchange.Running(target, model, None, count)
+                    for target, model, count in running
+                ),
+                (),
+                (),
+            ),
+            self.now,
+        )
+
+    def answer(self, order, answer=orders.Answer.ACCEPTED):
+        self.holder.use_answer(orders.Answered(order, answer), self.now)
+
+    def closing(self, target):
+        board = self.holder.board(None, 1, samples.seconds(0), self.now)
+        (view,) = [one for one in board.targets if one.target == target]
+        return {one.model for one in view.replicas if one.closing}
+
+
+def unloads(given):
+    return [
+        one.model
+        for one in given
+        if one.operation is orders.Operation.UNLOAD and one.adapter is None
+    ]
+
+
+def test_a_model_that_runs_requests_is_closed_before_its_unload():
+    """The pattern: every place is taken, and each model runs something.
+
+    Guards against an unload that waits for seconds for running requests,
+    while its target takes no other order.
+    """
+    bench = Bench({"e1": ["m0", "m1", "m2"]})
+    running = [("e1", name, 1) for name in ("m0", "m1", "m2")]
+    bench.report(["m5"], running)
+    assert unloads(bench.act()) == []
+    closing = bench.closing("e1")
+    assert len(closing) == 1
+    left = [row for row in running if row[1] not in closing]
+    bench.report(["m5"], left)
+    (model,) = unloads(bench.advance(0.2))
+    assert {model} == closing
+
+
+def test_an_idle_model_is_unloaded_at_once():
+    bench = Bench({"e1": ["m0", "m1", "m2"]})
+    bench.report(["m5"], [("e1", "m0", 1), ("e1", "m1", 1)])
+    assert unloads(bench.act()) == ["m2"]
+
+
+def test_a_closed_model_opens_again_when_nobody_waits_any_more():
+    """Guards against a model that stays closed for a load that never comes."""
+    bench = Bench({"e1": ["m0", "m1", "m2"]})
+    running = [("e1", name, 1) for name in ("m0", "m1", "m2")]
+    bench.report(["m5"], running)
+    bench.act()
+    assert bench.closing("e1")
+    bench.report([], running)
+    assert bench.advance(0.2) == []
+    assert bench.closing("e1") == set()
+
+
+def test_one_wish_closes_models_on_one_target_only():
+    """Guards against one request that costs places on several targets."""
+    bench = Bench({"e1": ["m0", "m1", "m2"], "e2": ["m0", "m1", "m2"]})
+    running = [
+        (target, name, 2)
+        for target in ("e1", "e2")
+        for name in ("m0", "m1", "m2")
+    ]
+    bench.report(["m5"], running)
+    bench.act()
+    bench.advance(0.2)
+    closed = [bench.closing("e1"), bench.closing("e2")]
+    assert sorted(map(bool, closed)) == [False, True]
+
+
+@pytest.mark.parametrize("reports", [1, 50])
+def test_many_reports_cause_one_review(reports):
+    """The pattern: dozens of instances report at any moment.
+
+    Guards against processor time that grows with the number of instances.
+    """
+    bench = Bench({"e1": ["m0"]})
+    bench.act()
+    for _ in range(reports):
+        bench.report()
+        bench.holder.review_soon(bench.now)
+    assert bench.holder.due == bench.now + holder_module.ACT_INTERVAL
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -28,6 +28,7 @@
     settings.update(more)
     return placement.Scene(
         tuple(stocks),
+        {},
         {
             model: [NOW + samples.seconds(slack) for slack in slacks]
             for model, slacks in (wishes or {}).items()
--- a/tests/test_emulation.py
+++ b/tests/test_emulation.py
@@ -45,6 +45,7 @@
     scene = placement.Scene(
         (),
         {},
+        {},
         (),
         lambda _: 0.0,
         None,
