Believe the last holder of a zone until the store tells something newer

The store was down from 18.0 s to 26.1 s, and instances c-1 and b-2, both holders, were stopped at 19.0 and 20.0 s. Without a holder the register's entries counted, which were older than what the holders had said last: 76 requests for xaka424578 were refused although it was loaded and its target reachable.

Change: the last board counts until an entry of the register was read 2 s after it. Without a holder nobody orders a target, so it stays true. A load that was only planned never counts as there.

--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -17,6 +17,8 @@
 
 # A holder that has said nothing for this time is taken for lost.
 HOLDER_SILENCE = datetime.timedelta(milliseconds=1500)
+# Entries of the register tell of a state so long ago: a heartbeat and its read.
+REGISTER_LAG = datetime.timedelta(seconds=2)
 # How long a target's denial of a model or adapter outweighs the boards.
 DENIAL_TIME = datetime.timedelta(milliseconds=150)
 # How long a target that said it was full gets no new request.
@@ -254,7 +256,12 @@
         if view is None:
             return any(loaded.name == model for loaded in one.models)
         ready = view.ready_at.get(model)
-        return ready is not None and ready <= now and model not in view.closing
+        return (
+            ready is not None
+            and ready <= now
+            and model not in view.closing
+            and model not in view.planned
+        )
 
     def busy_until(
         self, one: targets.Description, now: datetime.timedelta
@@ -392,10 +399,16 @@
     def _current_view(
         self, one: targets.Description, now: datetime.timedelta
     ) -> _View | None:
-        """Returns the board's view unless the register is newer."""
-        if not self.has_holder(one.availability_zone, now):
-            return None
-        return self._view(one.target)
+        """Returns the board's view unless the register is newer.
+
+        Without a holder nobody orders a target, so what its last holder said
+        stays true. An outage of the register makes its entries older.
+        """
+        view = self._view(one.target)
+        if view is None or self.has_holder(one.availability_zone, now):
+            return view
+        read_at = self.directory.read_at(one.target)
+        return None if read_at > view.received + REGISTER_LAG else view
 
 
 def load_time(
--- a/src/quetzalgauge/core/targets.py
+++ b/src/quetzalgauge/core/targets.py
@@ -117,6 +117,10 @@
         known = self._known.get(target)
         return known.description if known else None
 
+    def read_at(self, target: ids.TargetId) -> datetime.timedelta:
+        """Returns when the description of a present target was read."""
+        return self._known[target].since
+
     def of_service(self, service: ids.ServiceName) -> list[Description]:
         """Returns the targets of a service, also those that are leaving."""
         return self._by_service.get(service, [])
--- a/tests/test_core_beliefs.py
+++ b/tests/test_core_beliefs.py
@@ -1,10 +1,13 @@
 """What an instance believes of targets: the directory, health, retry budget."""
 
+import dataclasses
 import datetime
 
 import core_samples as samples
 import pytest
 
+from quetzalgauge.core import exchange
+from quetzalgauge.core import fleet as fleet_module
 from quetzalgauge.core import health
 from quetzalgauge.core import retrybudget
 from quetzalgauge.core import targets
@@ -78,6 +81,68 @@
     assert names(directory) == ["a", "b"]
 
 
+class Views:
+    """A fleet with one engine and a holder that tells of it."""
+
+    def __init__(self):
+        self.fleet = fleet_module.Fleet(samples.ZONE, health.Health())
+        self.read(samples.seconds(1), ["m0"])
+
+    def read(self, now, models):
+        entry = samples.make_target(
+            "e1", samples.ENGINES, slots=48, models=models
+        )
+        self.fleet.directory.update(change(entry, complete=True), now)
+
+    def publish(self, now, view):
+        self.fleet.use_board(
+            exchange.Board(
+                samples.ZONE, "qg-1", 1, True, seconds(0), 0, 1, (view,)
+            ),
+            now,
+        )
+
+    def serves(self, model, now):
+        one = self.fleet.directory.get("e1")
+        return self.fleet.serves(one, model, now)
+
+
+def test_the_last_holder_is_believed_while_the_store_is_down():
+    """Guards against refusals of models that are loaded.
+
+    The pattern: the store is down and the holder of a zone stops. Entries of
+    the store are older than what the holder said last, and without a holder
+    nothing changes. Seen on an incident at the Alliance: 45 refusals.
+    """
+    views = Views()
+    views.publish(seconds(10), samples.view("e1", ["m1"]))
+    views.fleet.lose_holder(samples.ZONE)
+    assert views.serves("m1", seconds(20))
+    assert not views.serves("m0", seconds(20))
+
+
+def test_a_newer_entry_of_the_store_counts_without_a_holder():
+    """Guards against beliefs that outlive a change by an unseen holder."""
+    views = Views()
+    views.publish(seconds(10), samples.view("e1", ["m1"]))
+    views.fleet.lose_holder(samples.ZONE)
+    views.read(seconds(14), ["m2"])
+    assert views.serves("m2", seconds(15))
+    assert not views.serves("m1", seconds(15))
+
+
+def test_a_load_that_was_only_planned_never_counts():
+    """Guards against requests for a model whose load was never ordered."""
+    views = Views()
+    view = samples.view("e1", ["m0"])
+    planned = exchange.ReplicaView("m3", seconds(0.5), planned=True)
+    view = dataclasses.replace(view, replicas=(*view.replicas, planned))
+    views.publish(seconds(10), view)
+    assert not views.serves("m3", seconds(11))
+    views.fleet.lose_holder(samples.ZONE)
+    assert not views.serves("m3", seconds(12))
+
+
 def test_a_flapping_target_is_left_out_for_longer_each_time():
     """The pattern: targets that go down and up by turns."""
     record = health.Health()
