--- a/src/quetzalgauge/ctl.py
+++ b/src/quetzalgauge/ctl.py
@@ -144,18 +144,18 @@
     """
     found = False
     for path in logs:
-        rows = list(_read_log(path))
-        own = [row for row in rows if row.get("request") == request]
-        if not own:
-            continue
-        found = True
-        for row in _with_beliefs(rows, own):
-            if json_output:
-                print(json.dumps(row))
-            else:
-                print(f"{path.name} {_line(row)}")
+        for rows in _split_starts(_read_log(path)):
+            own = [row for row in rows if row.get("request") == request]
+            if not own:
+                continue
+            found = True
+            for row in _with_beliefs(rows, own):
+                if json_output:
+                    print(json.dumps(row))
+                else:
+                    print(f"{path.name} {_line(row)}")
     if not found:
-        print(f"no line about {request}; was it left out? see log_left_out")
+        print(f"no line about {request}; was it left out? (left_out_before)")
     return DONE if found else FAILED
 
 
@@ -194,6 +194,19 @@
             yield row
 
 
+def _split_starts(
+    rows: Iterable[dict[str, Any]],
+) -> Iterator[list[dict[str, Any]]]:
+    """Returns the lines of each start; each has a clock of its own."""
+    current: list[dict[str, Any]] = []
+    for row in rows:
+        if row.get("event") == "start" and current:
+            yield current
+            current = []
+        current.append(row)
+    yield current
+
+
 def _line(row: dict[str, Any]) -> str:
     rest = " ".join(
         f"{key}={json.dumps(value)}"
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -55,6 +55,17 @@
     assert rows == [ROWS[1], ROWS[3], ROWS[4], ROWS[6], ROWS[7]]
 
 
+def test_explain_keeps_to_one_start_of_the_process(capsys, log):
+    """Guards against beliefs of another start, whose clock began anew."""
+    later = [
+        {"t": 0.1, "event": "start"},
+        {"t": 9.0, "event": "target_gone", "target": "e3"},
+    ]
+    lines = [json.dumps(row) for row in ROWS + later]
+    log.write_text("\n".join(lines))
+    assert explained(capsys, "r1", log)[1][-1] == ROWS[7]
+
+
 def test_explain_says_when_nothing_is_found(capsys, log):
     """Guards against an empty answer that looks like a quiet request."""
     assert ctl.app(["explain", "r7", str(log)]) == ctl.FAILED
