--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -37,8 +37,8 @@
 STORE_MARGIN = 0.9
 # How often the holder looks for something to do without any event.
 REVIEW_INTERVAL = datetime.timedelta(milliseconds=50)
-# Least pause between reviews that reports cause; loads take 30 times as long.
-ACT_INTERVAL = datetime.timedelta(milliseconds=15)
+# Least pause between reviews that reports cause; loads take 20 times as long.
+ACT_INTERVAL = datetime.timedelta(milliseconds=30)
 # How often loads that nobody waits for are looked at.
 SPARES_INTERVAL = datetime.timedelta(milliseconds=400)
 # How often counts of running requests alone are published.
