Begin reads of the store anew once it answers again

Instance b-1 was cut off from the store for some seconds before 11.5 s. Its long reads stayed open: what was lost on them never came, and their wait of 25 s hid it. Version 14, acknowledged at 11.55 s, reached it at 23.5 s. No store_lost line was written for the topic, while the seat's calls had failed thrice.

Ruled out: an older version taken over a newer one (the node refuses it), and a position read ahead of the items (the other instances read the same topic).

Change: once a call of the seat is answered after one that failed, the long reads are ended and begin anew from their position.

Test without the bench: test_reads_begin_anew_once_the_store_answers_again; it fails without the renewal.

--- a/src/quetzalgauge/node/followers.py
+++ b/src/quetzalgauge/node/followers.py
@@ -51,6 +51,27 @@
     after_outage: bool
 
 
+class Renewal:
+    """Renews connections to the store that may have gone silent.
+
+    A connection on which an answer was lost stays open and returns nothing
+    further, which a read that is held back on purpose does not notice. Once
+    another call has failed and the store answers again, all reads begin anew.
+    """
+
+    def __init__(self) -> None:
+        self._clients: list[store.Store] = []
+
+    def add(self, client: store.Store) -> None:
+        """Adds a client whose reads are held back."""
+        self._clients.append(client)
+
+    def renew(self) -> None:
+        """Makes the reads of all clients fail, so that they begin anew."""
+        for client in self._clients:
+            client.interrupt()
+
+
 def follow(
     topic: str,
     address: str,
@@ -58,6 +79,7 @@
     use: Callable[[Change], None],
     now: clock.Clock,
     log: journal.Journal,
+    renewal: Renewal,
 ) -> None:
     """Follows a keyed topic until the process ends.
 
@@ -68,8 +90,10 @@
         use: Called with what was read.
         now: The clock.
         log: Gets a line when the topic is lost and when it is regained.
+        renewal: Ends a read whose connection may have gone silent.
     """
     client = store.Store(address)
+    renewal.add(client)
     position: int | None = None
     failing_since: datetime.timedelta | None = None
     pause = FIRST_PAUSE_SECONDS
--- a/src/quetzalgauge/node/httpclient.py
+++ b/src/quetzalgauge/node/httpclient.py
@@ -6,10 +6,12 @@
 """
 
 from collections.abc import Mapping
+import contextlib
 import dataclasses
 import datetime
 import http.client
 import json
+import socket
 import time
 from typing import Any
 import urllib.parse
@@ -84,6 +86,13 @@
         """Closes the connection. The next call opens a new one."""
         self._connection.close()
 
+    def interrupt(self) -> None:
+        """Makes a call that another task waits for fail at once."""
+        handle = self._connection.sock
+        if handle is not None:
+            with contextlib.suppress(OSError):
+                handle.shutdown(socket.SHUT_RDWR)
+
     def open(self) -> None:
         """Opens a new connection unless one is open.
 
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -144,10 +144,15 @@
             self._meters,
             self._fail,
         )
+        self._renewal = followers.Renewal()
         self._seating = tasks.Task(
             "seat",
             seating.make_seating(
-                str(config.store), self._tell, self._now, self._log
+                str(config.store),
+                self._tell,
+                self._now,
+                self._log,
+                self._renewal.renew,
             ),
             lambda: None,
             self._fail,
@@ -228,7 +233,13 @@
                 use: Any = use,
             ) -> None:
                 followers.follow(
-                    topic, store, interval, use, self._now, self._log
+                    topic,
+                    store,
+                    interval,
+                    use,
+                    self._now,
+                    self._log,
+                    self._renewal,
                 )
 
             tasks.start_thread(f"follow-{topic}", run, self._fail)
--- a/src/quetzalgauge/node/seating.py
+++ b/src/quetzalgauge/node/seating.py
@@ -18,6 +18,7 @@
     tell: Callable[[seat.Event], None],
     now: clock.Clock,
     log: journal.Journal,
+    renew: Callable[[], None],
 ) -> Callable[[Any], None]:
     """Returns the function of the task that carries out the seat's actions.
 
@@ -26,10 +27,13 @@
         tell: Gets the events.
         now: The clock.
         log: Gets a line for each failed call.
+        renew: Called when a call is answered after one that failed.
     """
     client = store.Store(address)
+    has_failed = False
 
     def handle(action: seat.Action) -> None:
+        nonlocal has_failed
         asked_at = now()
         try:
             event = _carry_out(client, action, asked_at)
@@ -40,6 +44,12 @@
                 {"call": type(action).__name__, "error": str(error)},
             )
             event = _failed(action, asked_at)
+            has_failed = True
+        else:
+            if has_failed:
+                log.write("store_reads_renewed", {})
+                renew()
+            has_failed = False
         tell(event)
 
     return handle
--- a/src/quetzalgauge/platform/store.py
+++ b/src/quetzalgauge/platform/store.py
@@ -57,6 +57,10 @@
         """Closes the connection; the next call opens a new one."""
         self._connection.close()
 
+    def interrupt(self) -> None:
+        """Makes a call that another task waits for fail at once."""
+        self._connection.interrupt()
+
     def read_newest(self, topic: str) -> tuple[list[Item], int]:
         """Returns the newest record of each key, and where to read on.
 
