--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -293,7 +293,7 @@
         spares = now >= self._spares_at
         if spares:
             self._spares_at = now + SPARES_INTERVAL
-        # A target is closed for a load in one round and may be ordered in another.
+        # A target may be closed in one round and ordered in another.
         for _ in range(2 * len(self._stocks)):
             choice = self._continue_intent(scene, now)
             if choice is None:
