Look up the targets of a request in one place, describe waits only to log them

The choice between usable targets and replicas stood in _find_target, _expected and _count_places; it is _present now. What a refusal was judged by was worked out at each review of each waiting request, every few milliseconds, though only the lines of a first wait and of a refusal show it; it is worked out for those.

--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -367,6 +367,7 @@
             refused = self._refuse_hopeless(call, now)
             if refused is not None:
                 return refused
+            call.judged = self._describe_wait(call, now)
             self._wait(call)
             self._note_wait(call)
             return []
@@ -375,15 +376,11 @@
     def _find_target(
         self, call: _Call, now: datetime.timedelta
     ) -> targets.Description | None:
-        service, model = call.key
+        _, model = call.key
         fleet = self._fleet
-        if model is None:
-            present = fleet.usable(service, now)
-        else:
-            present = fleet.replicas(service, model, now)
         open_ones = [
             one
-            for one in present
+            for one in self._present(call, now)
             if one.target not in call.ran_on
             and not fleet.is_full(one.target, now)
             and fleet.load(one.target) < self._limit(one, model)
@@ -414,6 +411,15 @@
             )
         return self._choose(chosen, with_adapter, now)
 
+    def _present(
+        self, call: _Call, now: datetime.timedelta
+    ) -> list[targets.Description]:
+        """Returns the targets that take a request, whether full or not."""
+        service, model = call.key
+        if model is None:
+            return self._fleet.usable(service, now)
+        return self._fleet.replicas(service, model, now)
+
     def _limit(
         self, one: targets.Description, model: ids.ModelName | None
     ) -> float:
@@ -577,10 +583,7 @@
         """Returns when a request that waits is expected to start."""
         service, name = call.key
         fleet = self._fleet
-        if name is None:
-            present = fleet.usable(service, now)
-        else:
-            present = fleet.replicas(service, name, now)
+        present = self._present(call, now)
         if present:
             return now + self._queue_time(call, present)
         if name is None:
@@ -592,16 +595,26 @@
         offers = fleet.offers(service, spec, now) if spec else []
         return offers[0].ready_at if offers else None
 
-    def _count_places(
+    def _describe_wait(
         self, call: _Call, now: datetime.timedelta
-    ) -> dict[str, int]:
-        """Returns the usable targets and those that serve the model."""
+    ) -> dict[str, Any]:
+        """Returns what decides whether a request waits, for the log."""
         service, name = call.key
-        usable = self._fleet.usable(service, now)
-        if name is None:
-            return {"usable": len(usable)}
-        serving = self._fleet.replicas(service, name, now)
-        return {"usable": len(usable), "serving": len(serving)}
+        expected = self._expected(call, now)
+        limit = call.start_by - patience.ANSWER_MARGIN
+        places = {"usable": len(self._fleet.usable(service, now))}
+        if name is not None:
+            places["serving"] = len(self._present(call, now))
+        return {
+            "expected_ms": (
+                None
+                if expected is None
+                else _milliseconds(expected - call.arrived)
+            ),
+            "allowed_ms": _milliseconds(limit - call.arrived),
+            "queued": self._queues.length(call.key),
+            "places": places,
+        }
 
     def _queue_time(
         self, call: _Call, present: Iterable[targets.Description]
@@ -621,22 +634,14 @@
         """Refuses a request that nothing can start in time."""
         expected = self._expected(call, now)
         limit = call.start_by - patience.ANSWER_MARGIN
-        call.judged = {
-            "expected_ms": (
-                None
-                if expected is None
-                else _milliseconds(expected - call.arrived)
-            ),
-            "allowed_ms": _milliseconds(limit - call.arrived),
-            "queued": self._queues.length(call.key),
-            "places": self._count_places(call, now),
-        }
         if expected is None:
             if now < min(limit, call.arrived + UNKNOWN_WAIT):
                 return None
+            call.judged = self._describe_wait(call, now)
             return self._give_up(call, "no_target", now)
         if expected <= limit and now < limit:
             return None
+        call.judged = self._describe_wait(call, now)
         return self._give_up(call, "too_late", now, expected - now)
 
     def _give_up(
