Log and count loads from the weight store, and models without any copy

The logs could not tell how many loads from the weight store are under way, how long they really take, or for which models no target has a copy. Holders now tell each other on their boards what a target loads from the weight store, and log the end of each such load with its time and the usual one. No decision changes.

--- a/idl/exchange.thrift
+++ b/idl/exchange.thrift
@@ -51,6 +51,8 @@
   4: list<AdapterView> adapters,
   5: i32 busy_for,
   6: i32 running,
+  // Empty: no load from the weight store.
+  7: string fetching,
 }
 
 struct Board {
--- a/src/quetzalgauge/core/demand.py
+++ b/src/quetzalgauge/core/demand.py
@@ -25,6 +25,8 @@
 # The same of a model that a target, or several, held from the start.
 PRIOR_LOADED_RATE = 1.0
 PRIOR_BUSY_RATE = 5.0
+# A model with fewer requests a second was not asked for lately.
+ASKED_RATE = 0.02
 # Reports of an instance that has been silent for this time do not count.
 REPORT_AGE = datetime.timedelta(seconds=3)
 
@@ -152,6 +154,16 @@
             one for one in self._arrivals if self.rate(one, now) >= limit
         )
 
+    def asked_models(
+        self, now: datetime.timedelta
+    ) -> tuple[ids.ModelName, ...]:
+        """Returns the models that were asked for lately."""
+        return tuple(
+            one
+            for one in self._arrivals
+            if self._arrivals.rate(one, now) >= ASKED_RATE
+        )
+
     def rare_rate(self, limit: float, now: datetime.timedelta) -> float:
         """Returns requests a second for all models below a rate."""
         rates = (self._arrivals.rate(one, now) for one in self._arrivals)
--- a/src/quetzalgauge/core/exchange.py
+++ b/src/quetzalgauge/core/exchange.py
@@ -110,6 +110,7 @@
         adapters: Adapters that are loaded or being loaded.
         busy_for: Expected time until it can take another order.
         running: Requests in progress from all instances.
+        fetching: The model that it loads from the weight store, if any.
     """
 
     target: ids.TargetId
@@ -118,6 +119,7 @@
     adapters: tuple[AdapterView, ...]
     busy_for: datetime.timedelta
     running: int
+    fetching: ids.ModelName | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -48,6 +48,7 @@
     adapters: dict[tuple[ids.ModelName, ids.AdapterName], datetime.timedelta]
     free_at: datetime.timedelta
     running: int
+    fetching: ids.ModelName | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,6 +168,7 @@
                 },
                 now + view.busy_for,
                 view.running,
+                view.fetching,
             )
         for target in board.gone:
             known.views.pop(target, None)
@@ -270,6 +272,13 @@
         view = self._current_view(one, now)
         return view.free_at if view is not None else now
 
+    def fetching(
+        self, one: targets.Description, now: datetime.timedelta
+    ) -> ids.ModelName | None:
+        """Returns the model that a target loads from the weight store."""
+        view = self._current_view(one, now)
+        return view.fetching if view is not None else None
+
     def is_full(self, target: ids.TargetId, now: datetime.timedelta) -> bool:
         """Whether a target said a moment ago that it was full."""
         return now < self._full.get(target, _ZERO)
--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -21,6 +21,7 @@
 from quetzalgauge.core import placement
 from quetzalgauge.core import stock
 from quetzalgauge.core import survey
+from quetzalgauge.core import weightstore
 
 # Loads from the weight store at full speed (the sites' sheets: 2 to 4 at once
 # over all targets).
@@ -41,6 +42,10 @@
 ACT_INTERVAL = datetime.timedelta(milliseconds=30)
 # How often loads that nobody waits for are looked at.
 SPARES_INTERVAL = datetime.timedelta(milliseconds=400)
+# How often it is looked at which models no target has a copy of.
+COVERAGE_INTERVAL = datetime.timedelta(seconds=1)
+# Most models that a line of the log names.
+MAX_NAMES = 20
 # How often counts of running requests alone are published.
 COUNTS_INTERVAL = datetime.timedelta(milliseconds=200)
 
@@ -81,6 +86,9 @@
         self._intents: dict[ids.TargetId, _Intent] = {}
         self._config: configuration.Configuration | None = None
         self._store_loads: list[datetime.timedelta] = []
+        self._store = weightstore.WeightStore()
+        self._without_copy: tuple[ids.ModelName, ...] = ()
+        self._coverage_at = _ZERO
         self._published: dict[ids.TargetId, _Published] = {}
         self._gone: dict[ids.TargetId, int] = {}
         self._revision = 0
@@ -103,6 +111,19 @@
         """Grows with each change of what is published."""
         return self._revision
 
+    @property
+    def store_loads(self) -> int:
+        """Loads from the weight store that are under way on all targets."""
+        return self._store.under_way
+
+    @property
+    def without_copy(self) -> int:
+        """Models that were asked for lately and that no target can load.
+
+        Other than from the weight store.
+        """
+        return len(self._without_copy)
+
     @property
     def due(self) -> datetime.timedelta:
         """When `act` is wanted next."""
@@ -247,6 +268,7 @@
         self._acted_at = now
         self._demand.expire(now)
         actions: list[orders.Action] = []
+        self._observe_store(now)
         for one in self._stocks.values():
             one.settle_time(now)
             if one.wants_status(now):
@@ -264,6 +286,40 @@
         self._publish(now)
         return actions
 
+    def _observe_store(self, now: datetime.timedelta) -> None:
+        """Follows the loads from the weight store on the targets of all zones.
+
+        A target whose load has no known model is left out.
+        """
+        if self._config is None:
+            return
+        fetches = {}
+        for one in self._fleet.directory:
+            own = self._stocks.get(one.target)
+            model = own.fetching if own else self._fleet.fetching(one, now)
+            service = self._config.services.get(one.service)
+            if model is None or service is None or service.engine is None:
+                continue
+            spec = service.engine.models.get(model)
+            if spec is not None:
+                fetches[one.target] = weightstore.Fetch(model, spec.store_load)
+        for ended in self._store.observe(fetches, now):
+            if ended.target in self._stocks:
+                self._note_fetched(ended, now)
+
+    def _look_for_copies(
+        self, found: survey.Survey, now: datetime.timedelta
+    ) -> None:
+        """Finds the models that callers want and no target has a copy of."""
+        if now < self._coverage_at:
+            return
+        self._coverage_at = now + COVERAGE_INTERVAL
+        asked = self._demand.asked_models(now)
+        lacking = tuple(one for one in asked if found.lacks_copies(one))
+        if lacking != self._without_copy:
+            self._without_copy = lacking
+            self._note_coverage(len(asked))
+
     def _order_adapters(
         self, token: int, now: datetime.timedelta
     ) -> list[orders.Order]:
@@ -396,6 +452,7 @@
 
     def _make_scene(self, now: datetime.timedelta) -> placement.Scene:
         found = survey.Survey(self._fleet, now)
+        self._look_for_copies(found, now)
 
         @functools.cache
         def rate(model: ids.ModelName) -> float:
@@ -503,6 +560,7 @@
             ),
             tuple((key, held.ready_at) for key, held in one.adapters.items()),
             one.free_at,
+            one.fetching,
             intent.choice.model if intent else None,
         )
 
@@ -569,6 +627,7 @@
             ),
             max(_ZERO, one.free_at - now),
             running,
+            one.fetching,
         )
 
     # ---- Notes
@@ -614,6 +673,8 @@
                     "why": choice.why,
                     "score": round(choice.score, 2),
                     "waiting": len(self._demand.wishes().get(choice.model, ())),
+                    "copy": choice.stock.has_copy(choice.model),
+                    "store_loads": self._store.under_way,
                     "ready_in_ms": round(
                         (choice.ready_at - now).total_seconds() * 1000
                     ),
@@ -623,6 +684,37 @@
             )
         )
 
+    def _note_fetched(
+        self, ended: weightstore.Ended, now: datetime.timedelta
+    ) -> None:
+        usual = ended.fetch.usual
+        self._notes.append(
+            notes.Note(
+                "store_load_ended",
+                {
+                    "target": ended.target,
+                    "model": ended.fetch.model,
+                    "took_ms": round(ended.took.total_seconds() * 1000),
+                    "usual_ms": round(usual.total_seconds() * 1000),
+                    "most_at_once": ended.at_once,
+                    "carried_at_once": round(self._store.at_once(now), 2),
+                },
+            )
+        )
+
+    def _note_coverage(self, asked: int) -> None:
+        self._notes.append(
+            notes.Note(
+                "models_without_copy",
+                {
+                    "asked": asked,
+                    "count": len(self._without_copy),
+                    "models": list(self._without_copy[:MAX_NAMES]),
+                    "store_loads": self._store.under_way,
+                },
+            )
+        )
+
     def _note_answer(self, event: orders.Answered) -> None:
         order = event.order
         self._notes.append(
@@ -643,6 +735,9 @@
         """Returns the state as JSON values."""
         return {
             "zone": self._zone,
+            "store_loads": self._store.under_way,
+            "carried_at_once": self._store.at_once(now),
+            "without_copy": list(self._without_copy),
             "instances": self._demand.instances,
             "wishes": {
                 model: len(late_at)
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -229,6 +229,16 @@
         """Number of requests in queues."""
         return self._gateway.waiting_count
 
+    @property
+    def store_loads(self) -> int:
+        """Loads from the weight store under way, 0 without the seat."""
+        return self._holder.store_loads if self._holder else 0
+
+    @property
+    def models_without_copy(self) -> int:
+        """Models asked for that no target has a copy of, 0 without the seat."""
+        return self._holder.without_copy if self._holder else 0
+
     @property
     def config(self) -> configuration.Configuration | None:
         """The configuration in force."""
--- a/src/quetzalgauge/core/stock.py
+++ b/src/quetzalgauge/core/stock.py
@@ -77,6 +77,7 @@
         self.adapters: dict[AdapterKey, Replica] = {}
         self.order: orders.Order | None = None
         self.free_at = _ZERO
+        self._fetched: ids.ModelName | None = None
         self._orders_taken: int | None = None
         self._taken_at = _ZERO
         self._ask_at: datetime.timedelta | None = _ZERO
@@ -101,6 +102,11 @@
         """Whether the ledger agrees with a report of the target."""
         return self._orders_taken is not None
 
+    @property
+    def fetching(self) -> ids.ModelName | None:
+        """The model that is being loaded from the weight store, if any."""
+        return self._fetched
+
     def free_mb(self, now: datetime.timedelta) -> float:
         """Returns the accelerator memory that an order may still take.
 
@@ -186,6 +192,9 @@
         if order.operation is not orders.Operation.LOAD:
             return
         if order.adapter is None:
+            self._fetched = None
+            if not self.has_copy(order.model):
+                self._fetched = order.model
             ready = now + self.load_time(order.model)
             self.replicas[order.model] = Replica(State.LOADING, ready, now)
         else:
@@ -239,6 +248,8 @@
         now: datetime.timedelta,
     ) -> None:
         done = now
+        if answer is orders.Answer.HOLDS and order.adapter is None:
+            self._fetched = None
         if order.adapter is not None:
             if answer is orders.Answer.ACCEPTED:
                 done = now + ADAPTER_TIME
@@ -295,6 +306,7 @@
         if order.operation is orders.Operation.LOAD:
             if order.adapter is None:
                 self.replicas.pop(order.model, None)
+                self._fetched = None
             else:
                 self.adapters.pop((order.model, order.adapter), None)
         self.free_at = now + BUSY_PAUSE
@@ -427,6 +439,7 @@
         self._orders_taken = status.orders_taken
         self._taken_at = now - REPORT_LAG
         self.free_at = now
+        self._fetched = None
         self._use_models(status, now)
 
     def _confirm(self, status: orders.Status, now: datetime.timedelta) -> None:
@@ -444,6 +457,7 @@
             self.free_at = max(self.free_at, now + more)
             self._ask_at = now + more
             return
+        self._fetched = None
         self._use_models(status, now)
 
     def _use_models(
--- a/src/quetzalgauge/core/survey.py
+++ b/src/quetzalgauge/core/survey.py
@@ -30,6 +30,7 @@
         self._held: dict[ids.ModelName, list[_Held]] = {}
         self._copies: dict[ids.ModelName, set[ids.TargetId]] = {}
         self._guards: dict[ids.ModelName, ids.TargetId | None] = {}
+        self._fetched: set[ids.ModelName] = set()
         self.engines = 0
         self.engine_zones: set[ids.AvailabilityZone] = set()
         for one in fleet.directory:
@@ -39,6 +40,9 @@
             self.engine_zones.add(one.availability_zone)
             for model in one.copies.on_disk:
                 self._copies.setdefault(model, set()).add(one.target)
+            fetched = fleet.fetching(one, now)
+            if fetched is not None:
+                self._fetched.add(fetched)
             if one.leaving:
                 continue
             share = fleet.load(one.target) / max(1, one.slots)
@@ -101,6 +105,14 @@
             for one in self._held.get(model, ())
         )
 
+    def lacks_copies(self, model: ids.ModelName) -> bool:
+        """Whether no target has a model or brings it from the weight store."""
+        return not (
+            model in self._held
+            or model in self._copies
+            or model in self._fetched
+        )
+
     def copies_besides(self, model: ids.ModelName, target: ids.TargetId) -> int:
         """Returns the number of other targets with a copy of a model."""
         found = self._copies.get(model, set())
--- /dev/null
+++ b/src/quetzalgauge/core/weightstore.py
@@ -0,0 +1,123 @@
+"""Loads from the weight store: how many are under way, how long they take.
+
+The pattern answered: a store that all targets share. It carries a few loads
+at full speed; each further one makes loads longer in proportion. How many it
+carries is not told, so it is measured.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import datetime
+
+from quetzalgauge import ids
+
+# Loads at full speed until it is measured (the sites' sheets: 2 to 4).
+ASSUMED_AT_ONCE = 4.0
+# A load that takes longer than usual by more than this share was slowed down;
+# the end of a load is seen a moment late.
+SLOWED_SHARE = 0.1
+# A measurement counts for this time; the store may be slow for a while only.
+MEASURED_FOR = datetime.timedelta(seconds=60)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fetch:
+    """A load from the weight store that a target carries out.
+
+    Attributes:
+        model: The model.
+        usual: Time that the load takes at full speed.
+    """
+
+    model: ids.ModelName
+    usual: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """A load from the weight store that is over.
+
+    Attributes:
+        target: The target.
+        fetch: The load.
+        took: Its time.
+        at_once: Most loads under way at any moment of it, itself included.
+    """
+
+    target: ids.TargetId
+    fetch: Fetch
+    took: datetime.timedelta
+    at_once: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Load:
+    fetch: Fetch
+    began: datetime.timedelta
+    rank: int  # Loads under way when it began, itself included.
+    most: int
+    seen_from_start: bool
+
+    def slowed_by(self, now: datetime.timedelta) -> float:
+        return (now - self.began) / self.fetch.usual
+
+
+class WeightStore:
+    """The loads of all targets, as one holder sees them."""
+
+    def __init__(self) -> None:
+        self._loads: dict[ids.TargetId, _Load] = {}
+        self._measured: float | None = None
+        self._measured_at = datetime.timedelta()
+        self._has_looked = False
+
+    @property
+    def under_way(self) -> int:
+        """Number of loads under way."""
+        return len(self._loads)
+
+    def observe(
+        self,
+        fetches: Mapping[ids.TargetId, Fetch],
+        now: datetime.timedelta,
+    ) -> list[Ended]:
+        """Takes the loads that are under way now; returns those that ended.
+
+        Args:
+            fetches: The load of each target that carries out one. A target
+                that is gone is left out, so its load counts as ended.
+            now: The time.
+        """
+        ended = []
+        for target, load in list(self._loads.items()):
+            if fetches.get(target) != load.fetch:
+                del self._loads[target]
+                ended.append(
+                    Ended(target, load.fetch, now - load.began, load.most)
+                )
+                self._measure(load, now)
+        for target, fetch in fetches.items():
+            if target not in self._loads:
+                rank = len(self._loads) + 1
+                self._loads[target] = _Load(
+                    fetch, now, rank, rank, self._has_looked
+                )
+        for load in self._loads.values():
+            load.most = max(load.most, len(self._loads))
+            self._measure(load, now)
+        self._has_looked = True
+        return ended
+
+    def at_once(self, now: datetime.timedelta) -> float:
+        """Returns the number of loads that the store carries at full speed."""
+        if self._measured is None or now - self._measured_at > MEASURED_FOR:
+            return ASSUMED_AT_ONCE
+        return self._measured
+
+    def _measure(self, load: _Load, now: datetime.timedelta) -> None:
+        """Learns from a load that is over, or that should be."""
+        slowed_by = load.slowed_by(now)
+        if not load.seen_from_start or slowed_by <= 1.0 + SLOWED_SHARE:
+            return
+        self._measured = max(1.0, load.most / slowed_by)
+        self._measured_at = now
--- a/src/quetzalgauge/gen/exchange/ttypes.py
+++ b/src/quetzalgauge/gen/exchange/ttypes.py
@@ -692,6 +692,7 @@
      - adapters
      - busy_for
      - running
+     - fetching
 
     """
 
@@ -702,16 +703,18 @@
         'adapters',
         'busy_for',
         'running',
+        'fetching',
     )
 
 
-    def __init__(self, target=None, incarnation=None, replicas=None, adapters=None, busy_for=None, running=None,):
+    def __init__(self, target=None, incarnation=None, replicas=None, adapters=None, busy_for=None, running=None, fetching=None,):
         self.target = target
         self.incarnation = incarnation
         self.replicas = replicas
         self.adapters = adapters
         self.busy_for = busy_for
         self.running = running
+        self.fetching = fetching
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -764,6 +767,11 @@
                     self.running = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.fetching = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -804,6 +812,10 @@
             oprot.writeFieldBegin('running', TType.I32, 6)
             oprot.writeI32(self.running)
             oprot.writeFieldEnd()
+        if self.fetching is not None:
+            oprot.writeFieldBegin('fetching', TType.STRING, 7)
+            oprot.writeString(self.fetching.encode('utf-8') if sys.version_info[0] == 2 else self.fetching)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1146,6 +1158,7 @@
     (4, TType.LIST, 'adapters', (TType.STRUCT, [AdapterView, None], False), None, ),  # 4
     (5, TType.I32, 'busy_for', None, None, ),  # 5
     (6, TType.I32, 'running', None, None, ),  # 6
+    (7, TType.STRING, 'fetching', 'UTF8', None, ),  # 7
 )
 all_structs.append(Board)
 Board.thrift_spec = (
--- a/src/quetzalgauge/node/codec.py
+++ b/src/quetzalgauge/node/codec.py
@@ -163,6 +163,7 @@
         ],
         _milliseconds(view.busy_for),
         view.running,
+        view.fetching or "",
     )
 
 
@@ -203,4 +204,5 @@
         ),
         _duration(wire.busy_for),
         wire.running,
+        ids.ModelName(wire.fetching) if wire.fetching else None,
     )
--- a/src/quetzalgauge/node/meters.py
+++ b/src/quetzalgauge/node/meters.py
@@ -74,6 +74,17 @@
             "Requests that wait for a target.",
             registry=registry,
         )
+        self._store_loads = prometheus_client.Gauge(
+            "quetzalgauge_weight_store_loads",
+            "Loads from the weight store under way, as a holder sees them.",
+            registry=registry,
+        )
+        self._without_copy = prometheus_client.Gauge(
+            "quetzalgauge_models_without_copy",
+            "Models that were asked for and that no target has a copy of,"
+            " as a holder sees them.",
+            registry=registry,
+        )
         self._left_out = prometheus_client.Gauge(
             "quetzalgauge_log_lines_left_out",
             "Log lines that were not written.",
@@ -110,6 +121,11 @@
         self._waiting.set(waiting)
         self._left_out.set(left_out)
 
+    def set_models(self, store_loads: int, without_copy: int) -> None:
+        """Sets the gauges of a holder, 0 on other instances."""
+        self._store_loads.set(store_loads)
+        self._without_copy.set(without_copy)
+
     def text(self) -> bytes:
         """Returns all metrics in the text format of CONTENT_TYPE."""
         return prometheus_client.generate_latest(self._registry)
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -306,6 +306,9 @@
                 self._node.waiting_count,
                 self._log.total_left_out,
             )
+            self._meters.set_models(
+                self._node.store_loads, self._node.models_without_copy
+            )
         if isinstance(event, node.ConfigurationRead):
             self._server.use_limits()
         if self._drain_began is not None:
