Count loads from the weight store until they end

Cause: a load from the weight store counted as under way while its expected end was over 1.5 s off. Overdue, its expected end is a moment from now, so it dropped out, another load began, and all became slower still. Two loads could also begin in one review, on one place.

Zones take a free place in turn. After a takeover, a target that is busy with an order of the holder before counts as well.

--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -23,13 +23,13 @@
 from quetzalgauge.core import survey
 from quetzalgauge.core import weightstore
 
-# Loads from the weight store at full speed (the sites' sheets: 2 to 4 at once
-# over all targets).
-STORE_LOADS_AT_ONCE = 4
 # Requests a second for rare models, for each target, at full pressure.
 FULL_PRESSURE = 0.5
-# A target that is busy for longer loads from the weight store.
+# What another zone has only later than this counts as absent.
 LONG_LOAD = datetime.timedelta(seconds=1.5)
+# A place at the weight store that becomes free is left to the other zones for
+# this time each, so that they do not take it together.
+STORE_TURN = datetime.timedelta(milliseconds=100)
 # Room that is made for a load is kept for it for this time; an unload waits
 # for requests that run.
 INTENT_TIME = datetime.timedelta(seconds=2)
@@ -87,6 +87,7 @@
         self._config: configuration.Configuration | None = None
         self._store_loads: list[datetime.timedelta] = []
         self._store = weightstore.WeightStore()
+        self._store_free_since: datetime.timedelta | None = None
         self._without_copy: tuple[ids.ModelName, ...] = ()
         self._coverage_at = _ZERO
         self._published: dict[ids.TargetId, _Published] = {}
@@ -306,6 +307,13 @@
         for ended in self._store.observe(fetches, now):
             if ended.target in self._stocks:
                 self._note_fetched(ended, now)
+        slowdown = self._store.slowdown(now)
+        for ledger in self._stocks.values():
+            ledger.store_slowdown = slowdown
+        if not self._store.free_places(now):
+            self._store_free_since = None
+        elif self._store_free_since is None:
+            self._store_free_since = now
 
     def _look_for_copies(
         self, found: survey.Survey, now: datetime.timedelta
@@ -361,8 +369,13 @@
             if choice is None:
                 break
             order = self._carry_out(choice, token, now)
-            if order is not None:
-                given.append(order)
+            if order is None:
+                continue
+            given.append(order)
+            if choice.stock.fetching == order.model:
+                scene = dataclasses.replace(
+                    scene, store_loads=scene.store_loads - 1
+                )
         return given
 
     def _planned(self) -> dict[ids.TargetId, ids.ModelName]:
@@ -390,7 +403,10 @@
             if not wanted or spec is None:
                 del self._intents[target]
                 continue
-            if not one.can_order(now):
+            from_store = not one.has_copy(choice.model)
+            if not one.can_order(now) or (
+                from_store and scene.store_loads <= 0
+            ):
                 continue
             ready_at = now + one.load_time(choice.model)
             if spec.size_mb <= one.free_mb(now):
@@ -437,7 +453,7 @@
                 orders.Operation.UNLOAD, choice.victims[0], None, token, now
             )
         else:
-            if one.load_time(choice.model) >= self._store_time(one, choice):
+            if not one.has_copy(choice.model):
                 self._store_loads.append(now)
             order = one.make_order(
                 orders.Operation.LOAD, choice.model, None, token, now
@@ -445,11 +461,6 @@
         self._note_choice(choice, order, now)
         return order
 
-    def _store_time(
-        self, one: stock.Stock, choice: placement.Choice
-    ) -> datetime.timedelta:
-        return one.engine.models[choice.model].store_load
-
     def _make_scene(self, now: datetime.timedelta) -> placement.Scene:
         found = survey.Survey(self._fleet, now)
         self._look_for_copies(found, now)
@@ -508,19 +519,26 @@
             at for at in self._store_loads if now - at < STORE_WINDOW
         ]
         # Further loads at the same time only slow each other down.
-        loading = sum(
-            self._fleet.busy_until(one, now) - now > LONG_LOAD
-            for one in self._fleet.directory
-        )
-        own = sum(
-            one.free_at - now > LONG_LOAD for one in self._stocks.values()
-        )
-        share = -(-STORE_LOADS_AT_ONCE // max(1, zones))
-        return min(
-            allowed - len(self._store_loads),
-            STORE_LOADS_AT_ONCE - loading,
-            share - own,
+        places = self._store.free_places(now) - sum(
+            one.is_busy_unseen for one in self._stocks.values()
         )
+        if not self._has_store_turn(found, now):
+            places = 0
+        return min(allowed - len(self._store_loads), places)
+
+    def _has_store_turn(
+        self, found: survey.Survey, now: datetime.timedelta
+    ) -> bool:
+        """Whether this zone may take a free place at the weight store now.
+
+        Zones that load less from it come first.
+        """
+        if self._store_free_since is None:
+            return False
+        zones = sorted(found.engine_zones | {self._zone})
+        own = sum(one.fetching is not None for one in self._stocks.values())
+        turn = own * len(zones) + zones.index(self._zone)
+        return now - self._store_free_since >= turn * STORE_TURN
 
     # ---- What is published
 
--- a/src/quetzalgauge/core/stock.py
+++ b/src/quetzalgauge/core/stock.py
@@ -77,7 +77,9 @@
         self.adapters: dict[AdapterKey, Replica] = {}
         self.order: orders.Order | None = None
         self.free_at = _ZERO
+        self.store_slowdown = 1.0
         self._fetched: ids.ModelName | None = None
+        self._is_busy = False
         self._orders_taken: int | None = None
         self._taken_at = _ZERO
         self._ask_at: datetime.timedelta | None = _ZERO
@@ -107,6 +109,14 @@
         """The model that is being loaded from the weight store, if any."""
         return self._fetched
 
+    @property
+    def is_busy_unseen(self) -> bool:
+        """Whether the target carries out an order that is not in the ledger.
+
+        It may be a load from the weight store that the holder before ordered.
+        """
+        return self._is_busy and self._fetched is None
+
     def free_mb(self, now: datetime.timedelta) -> float:
         """Returns the accelerator memory that an order may still take.
 
@@ -185,7 +195,8 @@
 
     def load_time(self, model: ids.ModelName) -> datetime.timedelta:
         """Returns how long this target takes to load a model."""
-        return fleet.load_time(self.engine.models[model], self.copies)
+        usual = fleet.load_time(self.engine.models[model], self.copies)
+        return usual if self.has_copy(model) else usual * self.store_slowdown
 
     def _reserve(self, order: orders.Order, now: datetime.timedelta) -> None:
         """Counts what an order will take before it is sent."""
@@ -429,6 +440,7 @@
     def _adopt(self, status: orders.Status, now: datetime.timedelta) -> None:
         """Replaces the ledger by a report."""
         self.copies = status.copies
+        self._is_busy = status.busy
         if status.busy:
             # What is being loaded is not named, so nothing fits for certain.
             self._orders_taken = None
--- a/src/quetzalgauge/core/weightstore.py
+++ b/src/quetzalgauge/core/weightstore.py
@@ -108,6 +108,14 @@
         self._has_looked = True
         return ended
 
+    def free_places(self, now: datetime.timedelta) -> int:
+        """Returns how many loads may begin without slowing others down."""
+        return max(0, round(self.at_once(now)) - len(self._loads))
+
+    def slowdown(self, now: datetime.timedelta) -> float:
+        """Returns by how much a load that begins now takes longer."""
+        return max(1.0, (len(self._loads) + 1) / self.at_once(now))
+
     def at_once(self, now: datetime.timedelta) -> float:
         """Returns the number of loads that the store carries at full speed."""
         if self._measured is None or now - self._measured_at > MEASURED_FOR:
--- a/tests/test_core_holder.py
+++ b/tests/test_core_holder.py
@@ -199,3 +199,18 @@
     for _ in range(200):
         bench.advance(0.2)
     assert sum(bench.taken.values()) <= 4
+
+
+def test_a_new_holder_counts_what_the_one_before_ordered():
+    """Guards against twice the loads at the weight store after a takeover."""
+    names = [f"e{number}" for number in range(6)]
+    bench = SlowStore(names, [f"m{number}" for number in range(20)])
+    for name in names:
+        bench.taken[name] = 3
+        status = samples.make_status(["m0"], taken=3, busy=True, disk=["m0"])
+        bench.holder.use_status(
+            orders.StatusRead(name, 1, status, bench.now), bench.now
+        )
+    for _ in range(20):
+        bench.advance(0.2)
+    assert set(bench.taken.values()) == {3}
