Let models that nobody can get compete for the weight store

Cause: requests for a model without any copy are refused at once where a load from the weight store lasts longer than callers wait, so nobody waits for the model.

Now what callers ask for and nobody has is weighed like any other demand, and all loads from the weight store that no request waits for are compared at the same moment.

Before: test_a_model_that_nobody_can_get_goes_before_a_further_replica failed with the replica chosen.

--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -492,6 +492,7 @@
                 lambda model: self._demand.adapter_rate(model, now)
             ),
             lambda target, model: found.guard(model) == target,
+            self._without_copy,
             self._store_allowance(found, now),
             self._pressure(found, now),
         )
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -85,6 +86,8 @@
         adapter_rate: Requests a second for adapters of a model.
         guards: Whether a target is the one of the region that stays free to
             fetch adapters of a model.
+        refused: Models that were asked for and that no target has or can load
+            but from the weight store. Most callers do not wait for that.
         store_loads: Loads from the weight store that may begin now.
         pressure: From 0, where targets have time to spare, to 1.
     """
@@ -100,6 +103,7 @@
     crowding: Callable[[ids.ModelName], float]
     adapter_rate: Callable[[ids.ModelName], float]
     guards: Callable[[ids.TargetId, ids.ModelName], bool]
+    refused: Collection[ids.ModelName]
     store_loads: int
     pressure: float
 
@@ -156,7 +160,7 @@
     rooms = _Rooms(scene, now)
     best: Choice | None = None
     for model in _wanted(scene, spares):
-        choice = _choose_for(scene, rooms, free, model, now)
+        choice = _choose_for(scene, rooms, free, model, now, spares)
         if choice is not None and (best is None or choice.score > best.score):
             best = choice
     return best
@@ -168,12 +172,16 @@
     free: Sequence[stock.Stock],
     model: ids.ModelName,
     now: datetime.timedelta,
+    spares: bool,
 ) -> Choice | None:
     """Returns the best load of one model that can begin now."""
+    # Loads from the store that nobody waits for are compared all together.
+    may_fetch = scene.store_loads > 0 and (spares or model in scene.wishes)
     choices = [
         choice
         for one in free
         if model not in one.replicas
+        and (may_fetch or one.has_copy(model))
         and (choice := _weigh(scene, rooms, one, model, now)) is not None
     ]
     if not choices:
@@ -246,7 +254,7 @@
     """Returns a load on a target if it is worth what it costs."""
     spec = one.engine.models.get(model)
     from_store = not one.has_copy(model)
-    if spec is None or (from_store and scene.store_loads <= 0):
+    if spec is None:
         return None
     room = rooms.of(one, spec.size_mb)
     if room is None:
@@ -345,7 +353,7 @@
             share *= max(0.0, 1.0 - scene.pressure / IDLE_PRESSURE)
         gain += rate * COPY_HORIZON_S * share
         if share and not waiting:
-            why = "copy"
+            why = "refused" if model in scene.refused else "copy"
     return gain, why
 
 
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -22,6 +22,7 @@
         "crowding": lambda model: 0.0,
         "adapter_rate": lambda model: 0.0,
         "guards": lambda target, model: False,
+        "refused": (),
         "store_loads": 2,
         "pressure": 0.0,
     }
@@ -353,6 +354,7 @@
         elsewhere={"m1": 1, "m2": 1, "m3": 1, "m5": 1},
         copies_elsewhere=lambda model, target: int(model != "m4"),
         crowding=lambda model: 0.8 if model == "m3" else 0.0,
+        refused=["m4"],
         pressure=1.0,
     )
     assert choose(scene, spares=True).model == "m4"
