Keep the target with the only copy of a model out of long loads

Callers saw: a model refused for as long as the one target with a copy of it was loading another model from the weight store, during which a target loads nothing else.

A load from the weight store now costs what only this target's copies could serve for as long as it lasts.

Before: test_a_target_with_the_only_copy_of_another_model_stays_free failed with that target chosen.

--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -230,12 +230,13 @@
 
 
 class _Rooms:
-    """The cheapest way to make room on each target, by size."""
+    """What loads take away on each target; valid for one choice."""
 
     def __init__(self, scene: Scene, now: datetime.timedelta) -> None:
         self._scene = scene
         self._now = now
         self._rooms: dict[tuple[ids.TargetId, float], _Room | None] = {}
+        self._only_here: dict[ids.TargetId, float] = {}
 
     def of(self, one: stock.Stock, size_mb: float) -> _Room | None:
         key = (one.target, size_mb)
@@ -243,6 +244,12 @@
             self._rooms[key] = _make_room(self._scene, one, size_mb, self._now)
         return self._rooms[key]
 
+    def only_here(self, one: stock.Stock) -> float:
+        """Returns requests a second that only this target's copies serve."""
+        if one.target not in self._only_here:
+            self._only_here[one.target] = _rate_only_here(self._scene, one)
+        return self._only_here[one.target]
+
 
 def _weigh(
     scene: Scene,
@@ -267,6 +274,7 @@
     loss += seconds * TIME_COST * scene.pressure
     if from_store:
         loss += _copy_loss(scene, one, spec.size_mb)
+        loss += rooms.only_here(one) * seconds
     if gain <= loss:
         return None
     if why in ("spare", "copy") and gain < SPARE_GAIN * loss:
@@ -298,6 +306,22 @@
     return rate * seconds * ADAPTER_MISSES * (1.0 - LATE_WORTH)
 
 
+def _rate_only_here(scene: Scene, one: stock.Stock) -> float:
+    """Returns the rate of models that no other target has or could load.
+
+    They cannot be loaded while this target brings another model from the
+    weight store.
+    """
+    here = {name for other in scene.stocks for name in other.replicas}
+    return sum(
+        scene.rate(name)
+        for name in {*one.copies.in_memory, *one.copies.on_disk}
+        if name not in here
+        and not scene.elsewhere(name)
+        and not scene.copies_elsewhere(name, one.target)
+    )
+
+
 def _copy_loss(scene: Scene, one: stock.Stock, size_mb: float) -> float:
     """Returns the worth of last copies that a copy would push out."""
     engine = one.engine
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -360,3 +360,20 @@
     assert choose(scene, spares=True).model == "m4"
     # Loads from the store are compared all together.
     assert choose(scene, spares=False) is None
+
+
+def test_a_target_with_the_only_copy_of_another_model_stays_free():
+    """The pattern: a load from the weight store holds its target for seconds.
+
+    Guards against callers of a model that cannot be loaded for that time, as
+    its only copy lies on just that target.
+    """
+    only = samples.make_stock("t1", ["m0"], ["m0", "m5"])
+    other = samples.make_stock("t2", ["m0"], ["m0", "m1"])
+    scene = make_scene(
+        [only, other],
+        {"m4": [9.0]},
+        rates={"m4": 1.0, "m5": 1.0},
+        copies_elsewhere=lambda model, target: int(model not in ("m4", "m5")),
+    )
+    assert choose(scene).stock.target == "t2"
