Do not let a load that is just overdue raise the store's limit

Callers saw: models that arrive later than they could, since three loads shared a weight store that carries two.

Cause: each measurement replaced the one before. Each measurement is an upper bound, so the lowest of the last 30 s counts. It was 60 s; after that time it is measured anew, so that a store that was slow for a while is not spared for long.

Before: test_an_overdue_load_does_not_hide_what_an_ended_one_told failed.

--- a/src/quetzalgauge/core/weightstore.py
+++ b/src/quetzalgauge/core/weightstore.py
@@ -17,7 +17,7 @@
 # the end of a load is seen a moment late.
 SLOWED_SHARE = 0.1
 # A measurement counts for this time; the store may be slow for a while only.
-MEASURED_FOR = datetime.timedelta(seconds=60)
+MEASURED_FOR = datetime.timedelta(seconds=30)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,9 +123,14 @@
         return self._measured
 
     def _measure(self, load: _Load, now: datetime.timedelta) -> None:
-        """Learns from a load that is over, or that should be."""
+        """Learns from a load that is over, or that should be.
+
+        Each gives an upper bound: not all others were there all the time.
+        """
         slowed_by = load.slowed_by(now)
         if not load.seen_from_start or slowed_by <= 1.0 + SLOWED_SHARE:
             return
-        self._measured = max(1.0, load.most / slowed_by)
-        self._measured_at = now
+        bound = max(1.0, load.most / slowed_by)
+        if bound <= self.at_once(now):
+            self._measured = bound
+            self._measured_at = now
--- a/tests/test_core_weightstore.py
+++ b/tests/test_core_weightstore.py
@@ -69,6 +69,20 @@
     assert store.seen.at_once(store.now) == 2.5
 
 
+def test_an_overdue_load_does_not_hide_what_an_ended_one_told():
+    """Guards against a limit that rises with each load that is just overdue."""
+    store = Store()
+    store.begin("t1", "t2", "t3")
+    store.end("t1", 10)
+    store.begin("t4")
+    store.end("t2", 5)
+    measured = store.seen.at_once(store.now)
+    assert measured == 2.0
+    store.begin("t5")
+    store.look(6.5)
+    assert store.seen.at_once(store.now) <= measured
+
+
 def test_a_measurement_is_forgotten_after_a_while():
     """Guards against a store that was slow for a moment and is spared since."""
     store = Store()
