Wait for the register before loads from the weight store begin

Before: test_no_model_is_fetched_before_all_targets_have_registered failed with a load in the first review.

--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -98,6 +98,9 @@
         self._acted_at = -ACT_INTERVAL
         self._spares_at = _ZERO
         self._seen: set[ids.TargetId] = set()
+        self._seen_count = 0
+        self._seen_at = _ZERO
+        self._knows_copies = False
         self._placed: dict[ids.ModelName, int] = {}
         self._again: list[orders.Order] = []
         self._notes: list[notes.Note] = []
@@ -519,6 +522,8 @@
         self._store_loads = [
             at for at in self._store_loads if now - at < STORE_WINDOW
         ]
+        if self._wait_for_register(now) and not self._demand.wishes():
+            return 0
         # Further loads at the same time only slow each other down.
         places = self._store.free_places(now) - sum(
             one.is_busy_unseen for one in self._stocks.values()
@@ -527,6 +532,20 @@
             places = 0
         return min(allowed - len(self._store_loads), places)
 
+    def _wait_for_register(self, now: datetime.timedelta) -> bool:
+        """Whether targets that started together may not all be known yet.
+
+        They register one after the other, and a model that seems to have no
+        copy may lie on the last of them.
+        """
+        if not self._knows_copies:
+            if len(self._seen) != self._seen_count:
+                self._seen_count = len(self._seen)
+                self._seen_at = now
+            age = now - self._seen_at
+            self._knows_copies = age >= fleet_module.REGISTER_LAG
+        return not self._knows_copies
+
     def _has_store_turn(
         self, found: survey.Survey, now: datetime.timedelta
     ) -> bool:
--- a/tests/test_core_holder.py
+++ b/tests/test_core_holder.py
@@ -158,6 +158,7 @@
 
     def __init__(self, engines, models):
         self.taken = dict.fromkeys(engines, 0)
+        self.loaded = {}
         super().__init__({name: ["m0"] for name in engines}, disk=["m0"])
         self.holder.configure(
             samples.make_configuration(
@@ -180,8 +181,9 @@
 
     def tell_status(self, target):
         taken = self.taken[target]
+        loaded = self.loaded.get(target, ["m0"])
         status = samples.make_status(
-            ["m0"], taken=taken, busy=taken > 0, disk=["m0"]
+            loaded, taken=taken, busy=taken > 0, disk=loaded
         )
         self.holder.use_status(
             orders.StatusRead(target, 1, status, self.now), self.now
@@ -214,3 +216,28 @@
     for _ in range(20):
         bench.advance(0.2)
     assert set(bench.taken.values()) == {3}
+
+
+def test_no_model_is_fetched_before_all_targets_have_registered():
+    """The pattern: all targets start together and register one by one.
+
+    Guards against a long load of a model that the next entry shows loaded.
+    """
+    bench = SlowStore(["e1", "e2"], [f"m{number}" for number in range(6)])
+    began = {}
+    for tick in range(40):
+        if tick % 5 == 0 and tick <= 15:
+            target = f"late{tick}"
+            bench.taken[target] = 0
+            bench.loaded[target] = ["m1"]
+            entry = samples.make_target(
+                target, samples.ENGINES, models=["m1"], disk=["m1"]
+            )
+            bench.fleet.directory.update(
+                targets.RegisterChanged((entry,)), bench.now
+            )
+            bench.holder.use_directory()
+        for order in bench.advance(0.2):
+            began.setdefault(order.model, tick)
+    assert "m1" not in began
+    assert began and min(began.values()) > 15
