Serve in the end what no load is ever worth

Cause: a load is done only if it is worth more than it takes away. A rare model whose only copy lies on a target full of busier ones never is, at any time, and nothing counted for how long that had gone on.

The holder logs how many such models there are.

The new test of the choice, test_a_model_that_is_never_worth_a_swap_is_served_in_the_end, has an input that the code before did not know, so it could not run there.

--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -89,6 +89,7 @@
         self._store = weightstore.WeightStore()
         self._store_free_since: datetime.timedelta | None = None
         self._without_copy: tuple[ids.ModelName, ...] = ()
+        self._unserved: dict[ids.ModelName, datetime.timedelta] = {}
         self._coverage_at = _ZERO
         self._published: dict[ids.TargetId, _Published] = {}
         self._gone: dict[ids.TargetId, int] = {}
@@ -321,11 +322,16 @@
     def _look_for_copies(
         self, found: survey.Survey, now: datetime.timedelta
     ) -> None:
-        """Finds the models that callers want and no target has a copy of."""
+        """Finds what callers want and no target has, or has a copy of."""
         if now < self._coverage_at:
             return
         self._coverage_at = now + COVERAGE_INTERVAL
         asked = self._demand.asked_models(now)
+        self._unserved = {
+            model: self._unserved.get(model, now)
+            for model in asked
+            if not found.is_served(model, now)
+        }
         lacking = tuple(one for one in asked if found.lacks_copies(one))
         if lacking != self._without_copy:
             self._without_copy = lacking
@@ -496,6 +502,7 @@
             ),
             lambda target, model: found.guard(model) == target,
             self._without_copy,
+            lambda model: now - self._unserved.get(model, now),
             self._store_allowance(found, now),
             self._pressure(found, now),
         )
@@ -746,6 +753,7 @@
                 "models_without_copy",
                 {
                     "asked": asked,
+                    "unserved": len(self._unserved),
                     "count": len(self._without_copy),
                     "models": list(self._without_copy[:MAX_NAMES]),
                     "store_loads": self._store.under_way,
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -60,6 +60,9 @@
 RUN_REST = datetime.timedelta(seconds=1.5)
 # A target that could do it sooner by more than this is waited for.
 WAIT_GAIN = datetime.timedelta(milliseconds=250)
+# What was asked for and served nowhere for longer than this gains worth with
+# time, so that a rate too low to be worth a swap is not refused for ever.
+UNSERVED_TIME = datetime.timedelta(seconds=5)
 # Most models that make way for one.
 MAX_VICTIMS = 2
 
@@ -88,6 +91,8 @@
             fetch adapters of a model.
         refused: Models that were asked for and that no target has or can load
             but from the weight store. Most callers do not wait for that.
+        unserved_for: How long a model has been asked for while no target had
+            it.
         store_loads: Loads from the weight store that may begin now.
         pressure: From 0, where targets have time to spare, to 1.
     """
@@ -104,6 +109,7 @@
     adapter_rate: Callable[[ids.ModelName], float]
     guards: Callable[[ids.TargetId, ids.ModelName], bool]
     refused: Collection[ids.ModelName]
+    unserved_for: Callable[[ids.ModelName], datetime.timedelta]
     store_loads: int
     pressure: float
 
@@ -378,7 +384,7 @@
         gain += rate * COPY_HORIZON_S * share
         if share and not waiting:
             why = "refused" if model in scene.refused else "copy"
-    return gain, why
+    return gain * max(1.0, scene.unserved_for(model) / UNSERVED_TIME), why
 
 
 def _copy_share(others: int) -> float:
--- a/src/quetzalgauge/core/survey.py
+++ b/src/quetzalgauge/core/survey.py
@@ -105,6 +105,13 @@
             for one in self._held.get(model, ())
         )
 
+    def is_served(self, model: ids.ModelName, now: datetime.timedelta) -> bool:
+        """Whether a target takes requests for a model."""
+        return any(
+            one.ready_at <= now and not one.is_planned
+            for one in self._held.get(model, ())
+        )
+
     def lacks_copies(self, model: ids.ModelName) -> bool:
         """Whether no target has a model or brings it from the weight store."""
         return not (
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -1,5 +1,7 @@
 """Which model is loaded where, and what makes way for it."""
 
+import dataclasses
+
 import core_samples as samples
 
 from quetzalgauge.core import adapters
@@ -23,6 +25,7 @@
         "adapter_rate": lambda model: 0.0,
         "guards": lambda target, model: False,
         "refused": (),
+        "unserved_for": lambda model: samples.seconds(0),
         "store_loads": 2,
         "pressure": 0.0,
     }
@@ -377,3 +380,22 @@
         copies_elsewhere=lambda model, target: int(model not in ("m4", "m5")),
     )
     assert choose(scene).stock.target == "t2"
+
+
+def test_a_model_that_is_never_worth_a_swap_is_served_in_the_end():
+    """The pattern: rare requests for a model that only a busy target has.
+
+    Guards against callers who wait in vain, each of them, as long as the
+    others are busier.
+    """
+    scene = make_scene(
+        [full_stock(disk=["m4"])],
+        {"m4": [-1.0]},
+        rates={"m0": 1.0, "m1": 1.0, "m2": 1.0, "m4": 0.2},
+        pressure=1.0,
+    )
+    assert choose(scene) is None
+    later = dataclasses.replace(
+        scene, unserved_for=lambda model: samples.seconds(30)
+    )
+    assert choose(later).model == "m4"
