Use a place at the weight store again as soon as a load has ended

Callers saw: models refused for longer than the weight store needed.

Cause: a load that is a little overdue was asked after next after 15% of its time, 1.5 s for one of 10 s, and its target got no order for as long after it had ended. Then a load that nobody waits for was looked for every 400 ms only, and a zone with loads under way left a free place to the others for up to half a second. Loads before traffic also began 2 s after the last new target instead of a heartbeat.

Before: test_the_end_of_an_overdue_load_is_seen_soon failed with 0.75 s, and test_a_place_at_the_weight_store_is_used_again_at_once with 14.3 s unused of 120 s of places.

--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -27,9 +27,12 @@
 FULL_PRESSURE = 0.5
 # What another zone has only later than this counts as absent.
 LONG_LOAD = datetime.timedelta(seconds=1.5)
-# A place at the weight store that becomes free is left to the other zones for
-# this time each, so that they do not take it together.
+# A place at the weight store that becomes free is left for this time to each
+# zone whose turn comes first, so that they do not take it together.
 STORE_TURN = datetime.timedelta(milliseconds=100)
+# Targets that start together have all registered if no new one came for this
+# time (a heartbeat of the platform's targets).
+REGISTER_PAUSE = datetime.timedelta(milliseconds=1200)
 # Room that is made for a load is kept for it for this time; an unload waits
 # for requests that run.
 INTENT_TIME = datetime.timedelta(seconds=2)
@@ -88,6 +91,7 @@
         self._store_loads: list[datetime.timedelta] = []
         self._store = weightstore.WeightStore()
         self._store_free_since: datetime.timedelta | None = None
+        self._is_place_new = False
         self._without_copy: tuple[ids.ModelName, ...] = ()
         self._unserved: dict[ids.ModelName, datetime.timedelta] = {}
         self._coverage_at = _ZERO
@@ -318,6 +322,7 @@
             self._store_free_since = None
         elif self._store_free_since is None:
             self._store_free_since = now
+            self._is_place_new = True
 
     def _look_for_copies(
         self, found: survey.Survey, now: datetime.timedelta
@@ -364,6 +369,9 @@
             return given
         scene = self._make_scene(now)
         spares = now >= self._spares_at
+        if scene.store_loads > 0 and self._is_place_new:
+            self._is_place_new = False
+            spares = True
         if spares:
             self._spares_at = now + SPARES_INTERVAL
         # A target may be closed in one round and ordered in another.
@@ -549,8 +557,7 @@
             if len(self._seen) != self._seen_count:
                 self._seen_count = len(self._seen)
                 self._seen_at = now
-            age = now - self._seen_at
-            self._knows_copies = age >= fleet_module.REGISTER_LAG
+            self._knows_copies = now - self._seen_at >= REGISTER_PAUSE
         return not self._knows_copies
 
     def _has_store_turn(
@@ -562,9 +569,12 @@
         """
         if self._store_free_since is None:
             return False
-        zones = sorted(found.engine_zones | {self._zone})
-        own = sum(one.fetching is not None for one in self._stocks.values())
-        turn = own * len(zones) + zones.index(self._zone)
+        loads = dict.fromkeys(found.engine_zones | {self._zone}, 0)
+        for one in self._fleet.directory:
+            if self._store.is_loading(one.target):
+                loads[one.availability_zone] += 1
+        order = sorted(loads, key=lambda zone: (loads[zone], zone))
+        turn = order.index(self._zone)
         return now - self._store_free_since >= turn * STORE_TURN
 
     # ---- What is published
--- a/src/quetzalgauge/core/stock.py
+++ b/src/quetzalgauge/core/stock.py
@@ -27,6 +27,8 @@
 SILENT_PAUSE = datetime.timedelta(milliseconds=150)
 # An order that is overdue is expected to take this share longer.
 OVERDUE_SHARE = 0.15
+# An overdue order is asked after at least this often.
+OVERDUE_PAUSE = datetime.timedelta(milliseconds=200)
 # Conflicts in a row after which the target is asked what it holds.
 MAX_CONFLICTS = 3
 
@@ -467,9 +469,10 @@
                     replica.state = State.LOADING
                     replica.ready_at = now + more
             self.free_at = max(self.free_at, now + more)
-            self._ask_at = now + more
+            self._ask_at = now + min(more, OVERDUE_PAUSE)
             return
         self._fetched = None
+        self.free_at = min(self.free_at, now)
         self._use_models(status, now)
 
     def _use_models(
--- a/src/quetzalgauge/core/weightstore.py
+++ b/src/quetzalgauge/core/weightstore.py
@@ -76,6 +76,10 @@
         """Number of loads under way."""
         return len(self._loads)
 
+    def is_loading(self, target: ids.TargetId) -> bool:
+        """Whether a target carries out a load from the weight store."""
+        return target in self._loads
+
     def observe(
         self,
         fetches: Mapping[ids.TargetId, Fetch],
--- a/tests/test_core_holder.py
+++ b/tests/test_core_holder.py
@@ -8,6 +8,7 @@
 from quetzalgauge.core import health
 from quetzalgauge.core import holder as holder_module
 from quetzalgauge.core import orders
+from quetzalgauge.core import stock
 from quetzalgauge.core import targets
 
 NAMES = [f"m{number}" for number in range(6)]
@@ -154,9 +155,14 @@
 
 
 class SlowStore(Bench):
-    """Engines whose loads from the weight store never end."""
+    """Engines whose loads from the weight store last, or never end.
 
-    def __init__(self, engines, models):
+    A load that has ended is not kept, so its model is wanted again.
+    """
+
+    def __init__(self, engines, models, load_time=1000.0):
+        self.load_time = samples.seconds(load_time)
+        self.began = {}
         self.taken = dict.fromkeys(engines, 0)
         self.loaded = {}
         super().__init__({name: ["m0"] for name in engines}, disk=["m0"])
@@ -173,6 +179,7 @@
         ):
             if isinstance(action, orders.Give):
                 self.taken[action.order.target] += 1
+                self.began[action.order.target] = self.now
                 self.answer(action.order)
                 given.append(action.order)
             elif isinstance(action, orders.AskStatus):
@@ -182,8 +189,12 @@
     def tell_status(self, target):
         taken = self.taken[target]
         loaded = self.loaded.get(target, ["m0"])
+        began = self.began.get(target, self.now)
         status = samples.make_status(
-            loaded, taken=taken, busy=taken > 0, disk=loaded
+            loaded,
+            taken=taken,
+            busy=taken > 0 and self.now < began + self.load_time,
+            disk=loaded,
         )
         self.holder.use_status(
             orders.StatusRead(target, 1, status, self.now), self.now
@@ -241,3 +252,22 @@
             began.setdefault(order.model, tick)
     assert "m1" not in began
     assert began and min(began.values()) > 15
+
+
+def test_a_place_at_the_weight_store_is_used_again_at_once():
+    """Guards against a store that is idle while models wait for it."""
+    engines = [f"e{number}" for number in range(8)]
+    models = [f"m{number}" for number in range(20)]
+    bench = SlowStore(engines, models, load_time=6.0)
+    idle = samples.seconds(0)
+    while bench.now < samples.seconds(140):
+        bench.advance(0.05)
+        loading = sum(
+            bench.now < began + bench.load_time
+            for began in bench.began.values()
+        )
+        if bench.now > samples.seconds(110) and loading < 4:
+            idle += samples.seconds(0.05) * (4 - loading)
+    loads = 4 * samples.seconds(30) / bench.load_time
+    seen_within = stock.REPORT_LAG + stock.OVERDUE_PAUSE
+    assert idle <= loads * seen_within
--- a/tests/test_core_stock.py
+++ b/tests/test_core_stock.py
@@ -111,6 +111,30 @@
     assert "m3" in one.replicas
 
 
+def test_the_end_of_an_overdue_load_is_seen_soon():
+    """The pattern: a load from the weight store that takes a little longer.
+
+    Guards against a place at the store, and a target, that stay unused for a
+    good part of the time that the load took.
+    """
+    one = samples.make_stock(models=["m0"])
+    one.make_order(LOAD, "m3", None, 1, NOW)
+    answer(one, orders.Answer.ACCEPTED)
+    ended = NOW + samples.seconds(6.3)
+    now = NOW
+    while "m3" not in one.replicas or not one.is_ready("m3", now):
+        now += samples.ms(10)
+        one.settle_time(now)
+        if one.wants_status(now):
+            one.note_asked()
+            is_busy = now - samples.ms(100) < ended
+            loaded = ["m0"] if is_busy else ["m0", "m3"]
+            status = samples.make_status(loaded, taken=1, busy=is_busy)
+            read(one, status, now)
+    assert now - ended <= samples.ms(400)
+    assert one.can_order(now)
+
+
 def test_a_load_from_the_store_is_ready_only_when_reported():
     """Guards against requests for a model whose load others slow down."""
     one = samples.make_stock(models=["m0"])
