Let zones begin with different models of equal worth

Callers saw: one of the few places at the weight store spent on a model that another place was bringing.

Now each zone begins elsewhere in the list.

Before: test_zones_bring_different_models_of_equal_worth could not run, as the choice knew of no zones.

--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -513,6 +513,7 @@
             lambda model: now - self._unserved.get(model, now),
             self._store_allowance(found, now),
             self._pressure(found, now),
+            self._first_share(found),
         )
 
     def _pressure(self, found: survey.Survey, now: datetime.timedelta) -> float:
@@ -547,6 +548,11 @@
             places = 0
         return min(allowed - len(self._store_loads), places)
 
+    def _first_share(self, found: survey.Survey) -> float:
+        """Returns where this zone begins among models of equal worth."""
+        zones = sorted(found.engine_zones | {self._zone})
+        return zones.index(self._zone) / len(zones)
+
     def _wait_for_register(self, now: datetime.timedelta) -> bool:
         """Whether targets that started together may not all be known yet.
 
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -95,6 +95,9 @@
             it.
         store_loads: Loads from the weight store that may begin now.
         pressure: From 0, where targets have time to spare, to 1.
+        first_share: Which of the models that nobody waits for comes first, as
+            a share of their number. It differs between zones, so that they do
+            not choose the same one of several equal ones at the same moment.
     """
 
     stocks: Sequence[stock.Stock]
@@ -112,6 +115,7 @@
     unserved_for: Callable[[ids.ModelName], datetime.timedelta]
     store_loads: int
     pressure: float
+    first_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -230,7 +234,9 @@
     names.update(dict.fromkeys(scene.busy))
     if spares:
         for one in scene.stocks:
-            names.update(dict.fromkeys(one.engine.models))
+            models = list(one.engine.models)
+            first = int(len(models) * scene.first_share)
+            names.update(dict.fromkeys(models[first:] + models[:first]))
     here.update(scene.planned.values())
     return [name for name in names if name not in here]
 
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -399,3 +399,18 @@
         scene, unserved_for=lambda model: samples.seconds(30)
     )
     assert choose(later).model == "m4"
+
+
+def test_zones_bring_different_models_of_equal_worth():
+    """The pattern: every zone's holder looks for a model without any copy.
+
+    Guards against two places at the weight store for one model.
+    """
+    scene = make_scene(
+        [samples.make_stock("t1", ["m0"], ["m0"])],
+        elsewhere={"m1": 1},
+        copies_elsewhere=lambda model, target: 0,
+    )
+    first = choose(scene, spares=True)
+    second = choose(dataclasses.replace(scene, first_share=0.7), spares=True)
+    assert first.model != second.model
