Look up the targets with a model in an index

The processor time of instances grew with the targets times the requests that wait: each look for a place asked all targets whether they have the model. The index names all that may have it, and is made anew when a target or a board changes. Copies of weights and rates of demand are looked up once for each state as well.

--- a/src/quetzalgauge/core/demand.py
+++ b/src/quetzalgauge/core/demand.py
@@ -46,16 +46,29 @@
         self._counts: dict[ids.ModelName, float] = {}
         self._counted_at: dict[ids.ModelName, datetime.timedelta] = {}
         self._began: datetime.timedelta | None = None
+        # Each holder asks for all rates many times at one moment.
+        self._rates: dict[ids.ModelName, float] = {}
+        self._rates_at = _ZERO
 
     def add(
         self, model: ids.ModelName, count: int, now: datetime.timedelta
     ) -> None:
         if self._began is None:
             self._began = now
+        self._rates.clear()
         self._counts[model] = self._decayed(model, now) + count
         self._counted_at[model] = now
 
     def rate(self, model: ids.ModelName, now: datetime.timedelta) -> float:
+        if now != self._rates_at:
+            self._rates.clear()
+            self._rates_at = now
+        rate = self._rates.get(model)
+        if rate is None:
+            rate = self._rates[model] = self._compute(model, now)
+        return rate
+
+    def _compute(self, model: ids.ModelName, now: datetime.timedelta) -> float:
         if self._began is None:
             return 0.0
         # Soon after the first request the counts cover less time, and a
--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -85,6 +85,14 @@
             datetime.timedelta,
         ] = {}
         self._full: dict[ids.TargetId, datetime.timedelta] = {}
+        # Who may have a model: a superset, made anew when it is outdated.
+        self._with_model: dict[
+            tuple[ids.ServiceName, ids.ModelName], list[targets.Description]
+        ] = {}
+        self._models_of: dict[ids.TargetId, set[ids.ModelName]] = {}
+        self._index_revision = -1
+        self._copies: dict[ids.ModelName, frozenset[ids.TargetId]] = {}
+        self._copies_revision = -1
 
     # ---- Own requests in progress
 
@@ -170,6 +178,9 @@
                 view.running,
                 view.fetching,
             )
+            indexed = self._models_of.get(view.target, ())
+            if any(one.model not in indexed for one in view.replicas):
+                self._index_revision = -1
         for target in board.gone:
             known.views.pop(target, None)
 
@@ -218,10 +229,59 @@
         """Returns the targets that take requests for a model now."""
         return [
             one
-            for one in self.usable(service, now)
+            for one in self._usable_with(service, model, now)
             if self.serves(one, model, now)
         ]
 
+    def _usable_with(
+        self,
+        service: ids.ServiceName,
+        model: ids.ModelName,
+        now: datetime.timedelta,
+    ) -> list[targets.Description]:
+        """Returns the usable targets that may have a model."""
+        if self._index_revision != self.directory.revision:
+            self._index_models()
+        known = self._with_model.get((service, model), ())
+        present = [one for one in known if not one.leaving]
+        well = [
+            one for one in present if not self.health.is_paused(one.target, now)
+        ]
+        if len(well) == len(present):
+            return well
+        usable = {one.target for one in self.usable(service, now)}
+        return [one for one in present if one.target in usable]
+
+    def _index_models(self) -> None:
+        self._index_revision = self.directory.revision
+        self._with_model = {}
+        self._models_of = {}
+        for service in self.directory.services:
+            for one in self.directory.of_service(service):
+                names = {loaded.name for loaded in one.models}
+                view = self._view(one.target)
+                if view is not None:
+                    names.update(view.ready_at)
+                self._models_of[one.target] = names
+                for name in names:
+                    key = (service, name)
+                    self._with_model.setdefault(key, []).append(one)
+
+    def copies(
+        self,
+    ) -> Mapping[ids.ModelName, frozenset[ids.TargetId]]:
+        """Returns the targets with a copy of each model on disk."""
+        if self._copies_revision != self.directory.revision:
+            self._copies_revision = self.directory.revision
+            found: dict[ids.ModelName, list[ids.TargetId]] = {}
+            for one in self.directory:
+                for model in one.copies.on_disk:
+                    found.setdefault(model, []).append(one.target)
+            self._copies = {
+                model: frozenset(names) for model, names in found.items()
+            }
+        return self._copies
+
     def held(
         self, one: targets.Description, now: datetime.timedelta
     ) -> list[tuple[ids.ModelName, datetime.timedelta, bool]]:
@@ -329,7 +389,7 @@
         now: datetime.timedelta,
     ) -> Offer | None:
         offers = []
-        for one in self.usable(service, now):
+        for one in self._usable_with(service, model, now):
             view = self._current_view(one, now)
             if view is None or model in view.closing:
                 continue
--- a/src/quetzalgauge/core/survey.py
+++ b/src/quetzalgauge/core/survey.py
@@ -28,7 +28,7 @@
         self, fleet: fleet_module.Fleet, now: datetime.timedelta
     ) -> None:
         self._held: dict[ids.ModelName, list[_Held]] = {}
-        self._copies: dict[ids.ModelName, set[ids.TargetId]] = {}
+        self._copies = fleet.copies()
         self._guards: dict[ids.ModelName, ids.TargetId | None] = {}
         self._fetched: set[ids.ModelName] = set()
         self.engines = 0
@@ -38,8 +38,6 @@
                 continue
             self.engines += 1
             self.engine_zones.add(one.availability_zone)
-            for model in one.copies.on_disk:
-                self._copies.setdefault(model, set()).add(one.target)
             fetched = fleet.fetching(one, now)
             if fetched is not None:
                 self._fetched.add(fetched)
@@ -122,5 +120,5 @@
 
     def copies_besides(self, model: ids.ModelName, target: ids.TargetId) -> int:
         """Returns the number of other targets with a copy of a model."""
-        found = self._copies.get(model, set())
+        found = self._copies.get(model, frozenset())
         return len(found) - (target in found)
--- a/src/quetzalgauge/core/targets.py
+++ b/src/quetzalgauge/core/targets.py
@@ -100,6 +100,12 @@
         self._known: dict[ids.TargetId, _Known] = {}
         self._by_service: dict[ids.ServiceName, list[Description]] = {}
         self._is_complete = False
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Grows with each change of what is known."""
+        return self._revision
 
     @property
     def is_complete(self) -> bool:
@@ -121,6 +127,11 @@
         """Returns when the description of a present target was read."""
         return self._known[target].since
 
+    @property
+    def services(self) -> list[ids.ServiceName]:
+        """The services that have targets."""
+        return list(self._by_service)
+
     def of_service(self, service: ids.ServiceName) -> list[Description]:
         """Returns the targets of a service, also those that are leaving."""
         return self._by_service.get(service, [])
@@ -204,6 +215,7 @@
         return [_note("target_gone", known.description)]
 
     def _index(self) -> None:
+        self._revision += 1
         self._by_service.clear()
         for known in self._known.values():
             one = known.description
