Encode what a holder tells many instances once

The processor time of a holder grew with the number of instances: each board was encoded for each link, each message woke the task of the links, and each write set the link's events anew. Before: test_a_board_for_many_instances_is_encoded_once failed with 30 of 1.

--- a/src/quetzalgauge/node/links.py
+++ b/src/quetzalgauge/node/links.py
@@ -44,6 +44,7 @@
         self.incoming = bytearray()
         self.unsent: collections.deque[bytes] = collections.deque()
         self.unsent_bytes = 0
+        self.waits_to_write = False
         self.is_open = False
         self.is_closed = False
         self.heard = 0.0
@@ -90,10 +91,16 @@
         self._connections: dict[node.LinkId, _Connection] = {}
         self._wanted: dict[ids.AvailabilityZone, _Wanted] = {}
         self._next_number = 1
+        self._is_woken = False
+        self._last_message: exchange.Message | None = None
+        self._last_frame = b""
 
     def put(self, action: node.LinkTo | node.Tell) -> None:
         """Queues an action; any thread may call this."""
         self._queue.put(action)
+        if self._is_woken:
+            return
+        self._is_woken = True
         # A full pipe wakes the task as well.
         with contextlib.suppress(BlockingIOError):
             os.write(self._wake_write, b"\0")
@@ -122,6 +129,8 @@
     def _read_queue(self) -> None:
         with contextlib.suppress(BlockingIOError):
             os.read(self._wake_read, 4096)
+        # Before the queue is read: what is put later wakes the task again.
+        self._is_woken = False
         while True:
             try:
                 action = self._queue.get_nowait()
@@ -144,8 +153,7 @@
         connection = self._connections.get(action.link)
         if connection is None or not connection.is_open:
             return
-        data = codec.encode(action.message)
-        frame = _LENGTH.pack(len(data)) + data
+        frame = self._make_frame(action.message)
         connection.unsent.append(frame)
         connection.unsent_bytes += len(frame)
         if connection.unsent_bytes > MAX_UNSENT_BYTES:
@@ -153,6 +161,14 @@
             return
         self._flush(connection)
 
+    def _make_frame(self, message: exchange.Message) -> bytes:
+        # A board goes to every instance, one link after the other.
+        if message is not self._last_message:
+            data = codec.encode(message)
+            self._last_frame = _LENGTH.pack(len(data)) + data
+            self._last_message = message
+        return self._last_frame
+
     # ---- Connections
 
     def _connect(self, zone: ids.AvailabilityZone) -> None:
@@ -230,8 +246,12 @@
         except OSError as error:
             self._drop(connection, str(error), True)
             return
+        has_more = bool(connection.unsent)
+        if has_more == connection.waits_to_write:
+            return
+        connection.waits_to_write = has_more
         events = selectors.EVENT_READ
-        if connection.unsent:
+        if has_more:
             events |= selectors.EVENT_WRITE
         self._selector.modify(connection.handle, events, connection)
 
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,71 @@
+"""Links between instances."""
+
+import dataclasses
+import socket
+import threading
+import time
+
+import core_samples as samples
+
+from quetzalgauge.core import exchange
+from quetzalgauge.core import node
+from quetzalgauge.node import codec
+from quetzalgauge.node import links
+
+PEERS = 30
+
+
+def test_a_board_for_many_instances_is_encoded_once(monkeypatch):
+    """The pattern: a holder tells dozens of instances the same.
+
+    Guards against processor time that grows with the number of instances.
+    """
+    encoded = []
+    encode = codec.encode
+
+    def count(message):
+        encoded.append(message)
+        return encode(message)
+
+    monkeypatch.setattr(codec, "encode", count)
+    events = []
+    one = links.Links(
+        ("127.0.0.1", 0), events.append, lambda: samples.seconds(time.time())
+    )
+    address = one._listener.getsockname()
+    threading.Thread(target=one.run, daemon=True).start()
+    peers = [socket.create_connection(address) for _ in range(PEERS)]
+    report = exchange.Report("qg-2")
+    for peer in peers:
+        data = encode(report)
+        peer.sendall(len(data).to_bytes(4, "big") + data)
+    deadline = time.time() + 10
+    while len(events) < PEERS and time.time() < deadline:
+        time.sleep(0.01)
+    board = exchange.Board(
+        samples.ZONE,
+        "qg-1",
+        1,
+        True,
+        samples.seconds(0),
+        0,
+        PEERS,
+        (samples.view("t1", ready=["m1"]),),
+    )
+    for event in events:
+        one.put(node.Tell(event.link, board))
+    for peer in peers:
+        peer.settimeout(10)
+        length = int.from_bytes(peer.recv(4), "big")
+        assert codec.decode(peer.recv(length)) == board
+        peer.close()
+    assert len(encoded) == 1
+
+
+def test_a_load_from_the_weight_store_is_told():
+    view = samples.view("t1", loading=[("m1", 5.0)])
+    view = dataclasses.replace(view, fetching="m1")
+    board = exchange.Board(
+        samples.ZONE, "qg-1", 1, True, samples.seconds(0), 0, 1, (view,)
+    )
+    assert codec.decode(codec.encode(board)) == board
