Do not fetch a model twice at a time from the weight store

Cause: for a busy model only replicas count that are ready soon, so a load under way in another zone did not, and the time without any replica made a second load look urgent.

Before: test_a_model_that_is_on_its_way_is_not_fetched_again could not run, as the choice did not know what was under way.

--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -509,6 +509,10 @@
                 lambda model: self._demand.adapter_rate(model, now)
             ),
             lambda target, model: found.guard(model) == target,
+            lambda model: (
+                found.is_fetched(model)
+                or any(one.fetching == model for one in self._stocks.values())
+            ),
             self._without_copy,
             lambda model: now - self._unserved.get(model, now),
             self._store_allowance(found, now),
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -89,6 +89,7 @@
         adapter_rate: Requests a second for adapters of a model.
         guards: Whether a target is the one of the region that stays free to
             fetch adapters of a model.
+        fetched: Whether a target brings a model from the weight store.
         refused: Models that were asked for and that no target has or can load
             but from the weight store. Most callers do not wait for that.
         unserved_for: How long a model has been asked for while no target had
@@ -111,6 +112,7 @@
     crowding: Callable[[ids.ModelName], float]
     adapter_rate: Callable[[ids.ModelName], float]
     guards: Callable[[ids.TargetId, ids.ModelName], bool]
+    fetched: Callable[[ids.ModelName], bool]
     refused: Collection[ids.ModelName]
     unserved_for: Callable[[ids.ModelName], datetime.timedelta]
     store_loads: int
@@ -186,7 +188,11 @@
 ) -> Choice | None:
     """Returns the best load of one model that can begin now."""
     # Loads from the store that nobody waits for are compared all together.
-    may_fetch = scene.store_loads > 0 and (spares or model in scene.wishes)
+    may_fetch = (
+        scene.store_loads > 0
+        and (spares or model in scene.wishes)
+        and not scene.fetched(model)
+    )
     choices = [
         choice
         for one in free
--- a/src/quetzalgauge/core/survey.py
+++ b/src/quetzalgauge/core/survey.py
@@ -110,6 +110,10 @@
             for one in self._held.get(model, ())
         )
 
+    def is_fetched(self, model: ids.ModelName) -> bool:
+        """Whether a target brings a model from the weight store."""
+        return model in self._fetched
+
     def lacks_copies(self, model: ids.ModelName) -> bool:
         """Whether no target has a model or brings it from the weight store."""
         return not (
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -24,6 +24,7 @@
         "crowding": lambda model: 0.0,
         "adapter_rate": lambda model: 0.0,
         "guards": lambda target, model: False,
+        "fetched": lambda model: False,
         "refused": (),
         "unserved_for": lambda model: samples.seconds(0),
         "store_loads": 2,
@@ -401,6 +402,22 @@
     assert choose(later).model == "m4"
 
 
+def test_a_model_that_is_on_its_way_is_not_fetched_again():
+    """The pattern: a model in demand, which is not ready for seconds.
+
+    Guards against a second place at the weight store for it.
+    """
+    scene = make_scene(
+        [samples.make_stock("t1", ["m0"], ["m0"])],
+        {"m4": [9.0, 9.0]},
+        rates={"m4": 3.0},
+        copies_elsewhere=lambda model, target: 0,
+        unserved_for=lambda model: samples.seconds(9),
+    )
+    assert choose(scene).model == "m4"
+    assert choose(dataclasses.replace(scene, fetched=lambda _: True)) is None
+
+
 def test_zones_bring_different_models_of_equal_worth():
     """The pattern: every zone's holder looks for a model without any copy.
 
