Refuse requests for adapters that nobody may order in time

The gateway looked only at whether a target is busy, so it waited for an adapter there, again and again.

Before: test_no_adapter_is_waited_for_that_nobody_may_order and test_an_adapter_in_a_zone_without_a_holder_is_refused_soon failed.

--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -332,12 +332,23 @@
         view = self._current_view(one, now)
         return view.free_at if view is not None else now
 
+    def can_order_at(
+        self, one: targets.Description, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """Returns when a target can get an order, None: it has no holder."""
+        zone = one.availability_zone
+        if not self.has_holder(zone, now):
+            return None
+        return max(self.busy_until(one, now), self._boards[zone].orders_at)
+
     def fetching(
         self, one: targets.Description, now: datetime.timedelta
     ) -> ids.ModelName | None:
         """Returns the model that a target loads from the weight store."""
-        view = self._current_view(one, now)
-        return view.fetching if view is not None else None
+        view = self._view(one.target)
+        if view is None or view.fetching is None:
+            return None
+        return view.fetching if self._current_view(one, now) else None
 
     def is_full(self, target: ids.TargetId, now: datetime.timedelta) -> bool:
         """Whether a target said a moment ago that it was full."""
--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -399,12 +399,15 @@
             if fleet.adapter_ready_at(one, model, adapter, now) is not None
         )
         if not with_adapter:
-            # All instances bring an adapter to the same target.
-            # A target that loads a model takes no order for an adapter.
+            # All instances bring an adapter to the same target. One that loads
+            # a model, or has no holder, gets no order for an adapter.
             return min(
                 chosen,
                 key=lambda one: (
-                    max(fleet.busy_until(one, now), now + BUSY_GRACE),
+                    max(
+                        fleet.can_order_at(one, now) or datetime.timedelta.max,
+                        now + BUSY_GRACE,
+                    ),
                     fleet_module.hash_pair(adapter, one.target),
                 ),
                 default=None,
@@ -437,13 +440,10 @@
         ready = self._fleet.adapter_ready_at(one, model, adapter, now)
         if ready is not None and ready <= now:
             return self._send(call, now)
-        free_at = self._fleet.busy_until(one, now)
-        if ready is None and free_at > call.start_by - patience.ANSWER_MARGIN:
-            call.judged = {
-                "expected_ms": _milliseconds(free_at - call.arrived),
-                "allowed_ms": _milliseconds(call.start_by - call.arrived),
-            }
-            return self._give_up(call, "too_late", now, free_at - now)
+        if ready is None:
+            refused = self._refuse_without_adapter(call, one, now)
+            if refused is not None:
+                return refused
         call.phase = _Phase.ADAPTER
         call.adapter_by = now + ADAPTER_WAIT
         self._wishes.add_adapter(call.token, one.target, model, adapter)
@@ -451,6 +451,24 @@
         heapq.heappush(self._timers, (wake_at, call.token))
         return []
 
+    def _refuse_without_adapter(
+        self, call: _Call, one: targets.Description, now: datetime.timedelta
+    ) -> list[requests.Action] | None:
+        """Refuses a request whose adapter cannot be ordered in time."""
+        free_at = self._fleet.can_order_at(one, now)
+        if free_at is None:
+            # Another instance may be about to take over the zone.
+            if now < call.arrived + UNKNOWN_WAIT:
+                return None
+            return self._give_up(call, "no_holder", now)
+        if free_at <= call.start_by - patience.ANSWER_MARGIN:
+            return None
+        call.judged = {
+            "expected_ms": _milliseconds(free_at - call.arrived),
+            "allowed_ms": _milliseconds(call.start_by - call.arrived),
+        }
+        return self._give_up(call, "too_late", now, free_at - now)
+
     def _try_adapter(
         self, call: _Call, now: datetime.timedelta
     ) -> list[requests.Action]:
--- a/tests/test_core_gateway.py
+++ b/tests/test_core_gateway.py
@@ -5,6 +5,7 @@
 import core_samples as samples
 import pytest
 
+from quetzalgauge.core import gateway
 from quetzalgauge.core import requests
 
 Failure = requests.Failure
@@ -323,6 +324,34 @@
     assert refusal.retry_after > samples.seconds(5)
 
 
+def test_no_adapter_is_waited_for_that_nobody_may_order():
+    """The pattern: a new holder waits until the one before may not order.
+
+    Guards against requests for adapters that wait until their caller leaves.
+    """
+    bench = engine_bench()
+    views = [samples.view(name, ["m0"]) for name in ("e1", "e2")]
+    bench.publish(*views, orders_in=9.0)
+    (refusal,) = bench.arrive("/live/1", model="m0", adapter="a3")
+    assert (refusal.status, refusal.run) == (503, False)
+    assert refusal.retry_after > samples.seconds(8)
+
+
+def test_an_adapter_in_a_zone_without_a_holder_is_refused_soon():
+    """Guards against the same wait while no instance holds the zone."""
+    bench = engine_bench()
+    bench.publish(samples.view("e1", ["m0"]), samples.view("e2", ["m0"]))
+    bench.fleet.lose_holder(samples.ZONE)
+    bench.arrive("/live/1", model="m0", adapter="a3")
+    actions = []
+    arrived = bench.now
+    while not actions and bench.now < arrived + samples.seconds(5):
+        actions = bench.advance(samples.ms(50))
+    assert samples.only(actions, requests.Refuse)
+    longest = gateway.UNKNOWN_WAIT + gateway.ADAPTER_WAIT
+    assert bench.now - arrived <= longest
+
+
 def test_a_stopping_process_refuses_streams_that_it_would_cut():
     """Guards against a late stream that breaks when the process ends.
 
