Do not log a rejected order as a load that ended

Also drops a field that nothing read, and tells the times at which loads began from the number under way by name.

--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -88,7 +88,7 @@
         self._stocks: dict[ids.TargetId, stock.Stock] = {}
         self._intents: dict[ids.TargetId, _Intent] = {}
         self._config: configuration.Configuration | None = None
-        self._store_loads: list[datetime.timedelta] = []
+        self._store_begun: list[datetime.timedelta] = []
         self._store = weightstore.WeightStore()
         self._store_free_since: datetime.timedelta | None = None
         self._is_place_new = False
@@ -127,10 +127,7 @@
 
     @property
     def without_copy(self) -> int:
-        """Models that were asked for lately and that no target can load.
-
-        Other than from the weight store.
-        """
+        """Models asked for lately that only the weight store has."""
         return len(self._without_copy)
 
     @property
@@ -313,7 +310,9 @@
             if spec is not None:
                 fetches[one.target] = weightstore.Fetch(model, spec.store_load)
         for ended in self._store.observe(fetches, now):
-            if ended.target in self._stocks:
+            own = self._stocks.get(ended.target)
+            # An order that the target rejected was no load.
+            if own is not None and ended.fetch.model in own.replicas:
                 self._note_fetched(ended, now)
         slowdown = self._store.slowdown(now)
         for ledger in self._stocks.values():
@@ -471,7 +470,7 @@
             )
         else:
             if not one.has_copy(choice.model):
-                self._store_loads.append(now)
+                self._store_begun.append(now)
             order = one.make_order(
                 orders.Operation.LOAD, choice.model, None, token, now
             )
@@ -539,8 +538,8 @@
         zones = len(found.engine_zones)
         share = rate * STORE_WINDOW.total_seconds() * STORE_MARGIN
         allowed = max(1, int(share / max(1, zones)))
-        self._store_loads = [
-            at for at in self._store_loads if now - at < STORE_WINDOW
+        self._store_begun = [
+            at for at in self._store_begun if now - at < STORE_WINDOW
         ]
         if self._wait_for_register(now) and not self._demand.wishes():
             return 0
@@ -550,7 +549,7 @@
         )
         if not self._has_store_turn(found, now):
             places = 0
-        return min(allowed - len(self._store_loads), places)
+        return min(allowed - len(self._store_begun), places)
 
     def _first_share(self, found: survey.Survey) -> float:
         """Returns where this zone begins among models of equal worth."""
--- a/src/quetzalgauge/core/weightstore.py
+++ b/src/quetzalgauge/core/weightstore.py
@@ -54,8 +54,7 @@
 class _Load:
     fetch: Fetch
     began: datetime.timedelta
-    rank: int  # Loads under way when it began, itself included.
-    most: int
+    most: int  # Loads under way at any moment of it, itself included.
     seen_from_start: bool
 
     def slowed_by(self, now: datetime.timedelta) -> float:
@@ -102,10 +101,7 @@
                 self._measure(load, now)
         for target, fetch in fetches.items():
             if target not in self._loads:
-                rank = len(self._loads) + 1
-                self._loads[target] = _Load(
-                    fetch, now, rank, rank, self._has_looked
-                )
+                self._loads[target] = _Load(fetch, now, 1, self._has_looked)
         for load in self._loads.values():
             load.most = max(load.most, len(self._loads))
             self._measure(load, now)
