Count loads of zones that have no other engine

To find whose turn it is at the weight store, loads were counted by zones that have an engine with models or copies. An empty target that fetches its first model may be alone in its zone, which was then missing: KeyError in the owner task, which ends the process.

Before: test_an_empty_target_of_another_zone_may_fetch_a_model failed with that KeyError.

--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -4,6 +4,7 @@
 decides what to load, and publishes what its targets hold.
 """
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import datetime
@@ -578,11 +579,13 @@
         """
         if self._store_free_since is None:
             return False
-        loads = dict.fromkeys(found.engine_zones | {self._zone}, 0)
-        for one in self._fleet.directory:
-            if self._store.is_loading(one.target):
-                loads[one.availability_zone] += 1
-        order = sorted(loads, key=lambda zone: (loads[zone], zone))
+        loads = collections.Counter(
+            one.availability_zone
+            for one in self._fleet.directory
+            if self._store.is_loading(one.target)
+        )
+        zones = found.engine_zones | {self._zone}
+        order = sorted(zones, key=lambda zone: (loads[zone], zone))
         turn = order.index(self._zone)
         return now - self._store_free_since >= turn * STORE_TURN
 
--- a/tests/test_core_holder.py
+++ b/tests/test_core_holder.py
@@ -1,5 +1,7 @@
 """What a holder orders, and what it tells instances meanwhile."""
 
+import dataclasses
+
 import core_samples as samples
 import pytest
 
@@ -289,3 +291,30 @@
     assert bench.holder.revision == told
     ready_at = bench.holder._stocks["e1"].adapters["m0", "a1"].ready_at
     assert ready_at >= bench.now + stock.ADAPTER_TIME
+
+
+def test_an_empty_target_of_another_zone_may_fetch_a_model():
+    """The pattern: a new target's first load, in a zone without other engines.
+
+    Guards against a holder that ends with an error, and with it its process.
+    """
+    bench = Bench({"e1": ["m0"]}, disk=["m0"])
+    bench.fleet.directory.update(
+        targets.RegisterChanged(
+            (samples.make_target("new", samples.ENGINES, zone="zone-b"),)
+        ),
+        bench.now,
+    )
+    bench.holder.use_directory()
+    view = dataclasses.replace(
+        samples.view("new", loading=[("m3", 6.0)]), fetching="m3"
+    )
+    bench.fleet.use_board(
+        exchange.Board(
+            "zone-b", "qg-9", 1, True, samples.seconds(0), 0, 1, (view,)
+        ),
+        bench.now,
+    )
+    for _ in range(20):
+        bench.advance(0.2)
+    assert bench.holder.store_loads >= 1
