Log when orders begin and end, and models whose adapters nobody may order

The logs could not tell since when a zone's holder gives orders, what other instances believe of it, which targets have copies of a model, or by which target a request for an adapter was judged. New: orders_begin, orders_end, zone_orders, models_without_orders with a gauge; copies in target lines; target and zone in refusals for adapters. No decision changes: the time at which a target can get an order was looked up in two places and is now in one.

--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -197,6 +197,18 @@
         board = self._boards.get(zone)
         return board is not None and now - board.heard < HOLDER_SILENCE
 
+    def zones(self) -> list[ids.AvailabilityZone]:
+        """Returns the zones whose holders were heard at any time."""
+        return list(self._boards)
+
+    def orders_at(
+        self, zone: ids.AvailabilityZone, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """Returns when a zone's holder may give orders, None: no holder."""
+        if not self.has_holder(zone, now):
+            return None
+        return self._boards[zone].orders_at
+
     def instances(self) -> int:
         """Returns the number of instances that report to holders."""
         counts = [board.instances for board in self._boards.values()]
@@ -336,10 +348,10 @@
         self, one: targets.Description, now: datetime.timedelta
     ) -> datetime.timedelta | None:
         """Returns when a target can get an order, None: it has no holder."""
-        zone = one.availability_zone
-        if not self.has_holder(zone, now):
+        orders_at = self.orders_at(one.availability_zone, now)
+        if orders_at is None:
             return None
-        return max(self.busy_until(one, now), self._boards[zone].orders_at)
+        return max(self.busy_until(one, now), orders_at)
 
     def fetching(
         self, one: targets.Description, now: datetime.timedelta
@@ -421,12 +433,10 @@
         for one in self.usable(service, now):
             zone = one.availability_zone
             counts[zone] = counts.get(zone, 0) + 1
-            if not self.has_holder(zone, now):
+            free_at = self.can_order_at(one, now)
+            if free_at is None:
                 continue
-            view = self._current_view(one, now)
-            free_at = view.free_at if view is not None else now
-            start = max(now, free_at, self._boards[zone].orders_at)
-            ready = start + load_time(model, one.copies)
+            ready = max(now, free_at) + load_time(model, one.copies)
             if zone not in best or ready < best[zone]:
                 best[zone] = ready
         offers = []
--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -42,7 +42,7 @@
 # Pause until a caller's next try at another instance.
 OTHER_INSTANCE_RETRY = datetime.timedelta(milliseconds=100)
 # Reasons of a refusal that the last look at the queue explains.
-_JUDGED = frozenset({"no_target", "too_late"})
+_JUDGED = frozenset({"no_holder", "no_target", "too_late"})
 # Pause before a target that said it was full or lacked a model is asked again.
 RETRY_PAUSE = datetime.timedelta(milliseconds=8)
 # Longest wait for an adapter on one target.
@@ -456,6 +456,16 @@
     ) -> list[requests.Action] | None:
         """Refuses a request whose adapter cannot be ordered in time."""
         free_at = self._fleet.can_order_at(one, now)
+        call.judged = {
+            "target": one.target,
+            "zone": one.availability_zone,
+            "expected_ms": (
+                None
+                if free_at is None
+                else _milliseconds(free_at - call.arrived)
+            ),
+            "allowed_ms": _milliseconds(call.start_by - call.arrived),
+        }
         if free_at is None:
             # Another instance may be about to take over the zone.
             if now < call.arrived + UNKNOWN_WAIT:
@@ -463,10 +473,6 @@
             return self._give_up(call, "no_holder", now)
         if free_at <= call.start_by - patience.ANSWER_MARGIN:
             return None
-        call.judged = {
-            "expected_ms": _milliseconds(free_at - call.arrived),
-            "allowed_ms": _milliseconds(call.start_by - call.arrived),
-        }
         return self._give_up(call, "too_late", now, free_at - now)
 
     def _try_adapter(
--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -94,6 +94,7 @@
         self._store_free_since: datetime.timedelta | None = None
         self._is_place_new = False
         self._without_copy: tuple[ids.ModelName, ...] = ()
+        self._without_orders: tuple[ids.ModelName, ...] = ()
         self._unserved: dict[ids.ModelName, datetime.timedelta] = {}
         self._coverage_at = _ZERO
         self._published: dict[ids.TargetId, _Published] = {}
@@ -131,6 +132,11 @@
         """Models asked for lately that only the weight store has."""
         return len(self._without_copy)
 
+    @property
+    def without_orders(self) -> int:
+        """Models whose adapters are asked for and that nobody may order."""
+        return len(self._without_orders)
+
     @property
     def due(self) -> datetime.timedelta:
         """When `act` is wanted next."""
@@ -341,6 +347,21 @@
         if lacking != self._without_copy:
             self._without_copy = lacking
             self._note_coverage(len(asked))
+        stuck = tuple(
+            one
+            for one in asked
+            if self._demand.adapter_rate(one, now) >= demand.ASKED_RATE
+            and found.is_served(one, now)
+            and not found.takes_orders(one)
+        )
+        if stuck != self._without_orders:
+            self._without_orders = stuck
+            self._notes.append(
+                notes.Note(
+                    "models_without_orders",
+                    {"count": len(stuck), "models": list(stuck[:MAX_NAMES])},
+                )
+            )
 
     def _order_adapters(
         self, token: int, now: datetime.timedelta
@@ -808,6 +829,7 @@
             "store_loads": self._store.under_way,
             "carried_at_once": self._store.at_once(now),
             "without_copy": list(self._without_copy),
+            "without_orders": list(self._without_orders),
             "instances": self._demand.instances,
             "wishes": {
                 model: len(late_at)
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -201,6 +201,8 @@
         self._heartbeat_at = _ZERO
         self._board_at = _ZERO
         self._is_draining = False
+        self._gave_orders = False
+        self._zone_orders: dict[ids.AvailabilityZone, str] = {}
         self._notes: list[notes.Note] = []
 
     # ---- Properties
@@ -239,6 +241,11 @@
         """Models asked for that no target has a copy of, 0 without the seat."""
         return self._holder.without_copy if self._holder else 0
 
+    @property
+    def models_without_orders(self) -> int:
+        """Models with wanted adapters that nobody may order, as a holder."""
+        return self._holder.without_orders if self._holder else 0
+
     @property
     def config(self) -> configuration.Configuration | None:
         """The configuration in force."""
@@ -330,7 +337,9 @@
             self._heartbeat_at = now + HEARTBEAT_INTERVAL
             self._notes += self._fleet.directory.expire(now)
             self._fleet.expire(now)
+            self._note_zones(now)
             actions += self._report(now)
+        self._note_right(now)
         wishes = self._gateway.wanted
         if wishes.is_urgent or (wishes.has_changed and now >= self._report_at):
             actions += self._report(now)
@@ -338,6 +347,36 @@
             actions += self._act_as_holder(now)
         return actions
 
+    def _note_right(self, now: datetime.timedelta) -> None:
+        """Notes when this instance's right to give orders begins or ends."""
+        until = self._seat.may_order_until(now)
+        gives = now < until
+        if gives == self._gave_orders:
+            return
+        self._gave_orders = gives
+        fields: dict[str, Any] = {
+            "zone": self._identity.availability_zone,
+            "token": self._seat.token,
+        }
+        if gives:
+            fields["for_s"] = (until - now).total_seconds()
+        self._notes.append(
+            notes.Note("orders_begin" if gives else "orders_end", fields)
+        )
+
+    def _note_zones(self, now: datetime.timedelta) -> None:
+        """Notes what this instance believes of the holders of all zones."""
+        for zone in self._fleet.zones():
+            at = self._fleet.orders_at(zone, now)
+            state = "none" if at is None else "now" if at <= now else "later"
+            if self._zone_orders.get(zone) == state:
+                continue
+            self._zone_orders[zone] = state
+            fields: dict[str, Any] = {"zone": zone, "orders": state}
+            if at is not None and at > now:
+                fields["orders_in_s"] = (at - now).total_seconds()
+            self._notes.append(notes.Note("zone_orders", fields))
+
     # ---- Configuration and targets
 
     def _use_configuration(
--- a/src/quetzalgauge/core/survey.py
+++ b/src/quetzalgauge/core/survey.py
@@ -10,6 +10,9 @@
 from quetzalgauge import ids
 from quetzalgauge.core import fleet as fleet_module
 
+# A target that gets an order only later than this counts as without orders.
+ORDER_SOON = datetime.timedelta(seconds=1.5)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Held:
@@ -18,6 +21,7 @@
     ready_at: datetime.timedelta
     is_planned: bool
     is_paused: bool
+    takes_orders: bool
     share: float
 
 
@@ -45,6 +49,8 @@
                 continue
             share = fleet.load(one.target) / max(1, one.slots)
             is_paused = fleet.health.is_paused(one.target, now)
+            order_at = fleet.can_order_at(one, now)
+            takes_orders = order_at is not None and order_at <= now + ORDER_SOON
             for model, ready_at, is_planned in fleet.held(one, now):
                 self._held.setdefault(model, []).append(
                     _Held(
@@ -53,6 +59,7 @@
                         ready_at,
                         is_planned,
                         is_paused,
+                        takes_orders,
                         share,
                     )
                 )
@@ -110,6 +117,10 @@
             for one in self._held.get(model, ())
         )
 
+    def takes_orders(self, model: ids.ModelName) -> bool:
+        """Whether a target that has a model, or is to have it, gets orders."""
+        return any(one.takes_orders for one in self._held.get(model, ()))
+
     def is_fetched(self, model: ids.ModelName) -> bool:
         """Whether a target brings a model from the weight store."""
         return model in self._fetched
--- a/src/quetzalgauge/core/targets.py
+++ b/src/quetzalgauge/core/targets.py
@@ -234,4 +234,5 @@
         fields["leaves_in_s"] = left.total_seconds() if left else None
     if entry.models or entry.copies.on_disk:
         fields["models"] = [model.name for model in entry.models]
+        fields["copies"] = list(entry.copies.on_disk)
     return notes.Note(event, fields)
--- a/src/quetzalgauge/node/meters.py
+++ b/src/quetzalgauge/node/meters.py
@@ -85,6 +85,12 @@
             " as a holder sees them.",
             registry=registry,
         )
+        self._without_orders = prometheus_client.Gauge(
+            "quetzalgauge_models_without_orders",
+            "Models whose adapters were asked for and that only targets"
+            " without a holder have, as a holder sees them.",
+            registry=registry,
+        )
         self._left_out = prometheus_client.Gauge(
             "quetzalgauge_log_lines_left_out",
             "Log lines that were not written.",
@@ -121,10 +127,13 @@
         self._waiting.set(waiting)
         self._left_out.set(left_out)
 
-    def set_models(self, store_loads: int, without_copy: int) -> None:
+    def set_models(
+        self, store_loads: int, without_copy: int, without_orders: int
+    ) -> None:
         """Sets the gauges of a holder, 0 on other instances."""
         self._store_loads.set(store_loads)
         self._without_copy.set(without_copy)
+        self._without_orders.set(without_orders)
 
     def text(self) -> bytes:
         """Returns all metrics in the text format of CONTENT_TYPE."""
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -307,7 +307,9 @@
                 self._log.total_left_out,
             )
             self._meters.set_models(
-                self._node.store_loads, self._node.models_without_copy
+                self._node.store_loads,
+                self._node.models_without_copy,
+                self._node.models_without_orders,
             )
         if isinstance(event, node.ConfigurationRead):
             self._server.use_limits()
