--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -333,7 +333,7 @@
     here = {name for other in scene.stocks for name in other.replicas}
     return sum(
         scene.rate(name)
-        for name in {*one.copies.in_memory, *one.copies.on_disk}
+        for name in dict.fromkeys(one.copies.in_memory + one.copies.on_disk)
         if name not in here
         and not scene.elsewhere(name)
         and not scene.copies_elsewhere(name, one.target)
--- a/src/quetzalgauge/core/stock.py
+++ b/src/quetzalgauge/core/stock.py
@@ -488,7 +488,9 @@
     def _use_models(
         self, status: orders.Status, now: datetime.timedelta
     ) -> None:
-        loaded = {model.name for model in status.models}
+        # In the report's order, so that equal victims come in the same order
+        # in each process.
+        loaded = dict.fromkeys(model.name for model in status.models)
         for name in [one for one in self.replicas if one not in loaded]:
             self._drop(name)
         for name in loaded:
@@ -506,15 +508,17 @@
     def _use_adapters(
         self, status: orders.Status, now: datetime.timedelta
     ) -> None:
-        present = {
+        present = [
             (model.name, adapter)
             for model in status.models
             for adapter in model.adapters
-        } | set(status.coming)
-        for key in [one for one in self.adapters if one not in present]:
+        ]
+        present += status.coming
+        for key in self.adapters.keys() - set(present):
             del self.adapters[key]
-        for key in present - self.adapters.keys():
-            self.adapters[key] = Replica(State.READY, now, _ZERO)
+        for key in present:
+            if key not in self.adapters:
+                self.adapters[key] = Replica(State.READY, now, _ZERO)
 
     # ---- Time
 
--- a/tests/test_core_stock.py
+++ b/tests/test_core_stock.py
@@ -178,6 +178,13 @@
     assert one.make_order(UNLOAD, "m0", None, 1, later).after == 3
 
 
+def test_models_of_a_report_come_in_its_order():
+    """Guards against equal choices that differ from process to process."""
+    names = [f"m{number}" for number in (4, 1, 3, 0, 5, 2)]
+    one = samples.make_stock(models=names)
+    assert list(one.replicas) == names
+
+
 class Engine:
     """A target that keeps the rules of the platform."""
 
