--- a/src/quetzalgauge/emulation/run.py
+++ b/src/quetzalgauge/emulation/run.py
@@ -49,6 +49,14 @@
     times: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """All instances of a zone end, and nobody replaces them."""
+
+    at: float
+    zone: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Day:
     """What happens on an emulated day; times from the first request."""
@@ -56,6 +64,7 @@
     length: float = 34.0
     shifts: tuple[Shift, ...] = ()
     bursts: tuple[Burst, ...] = ()
+    losses: tuple[Loss, ...] = ()
 
 
 STANDARD = Day(
@@ -119,10 +128,27 @@
         self._links: dict[ids.AvailabilityZone, _Instance] = {}
         self._numbers: dict[int, tuple[_Instance, ids.AvailabilityZone]] = {}
         self._tick_at = math.inf
+        self.is_lost = False
         self.calls: dict[int, _Call] = {}
 
+    def end(self) -> None:
+        """Ends the process: its connections close."""
+        self.is_lost = True
+        for call in list(self.calls.values()):
+            call.lose()
+        for zone, other in self._links.items():
+            number = self._day.link_numbers[(self.name, zone)]
+            self._world.after(HOP_S, _bind(other.tell, node.LinkClosed(number)))
+        for other in self._day.instances:
+            if other._links.get(self.zone) is self:
+                self._world.after(
+                    HOP_S, _bind(other.tell, node.LinkClosed(self.zone))
+                )
+
     def tell(self, event: Any) -> None:
         """Gives the node an event and carries out its actions."""
+        if self.is_lost:
+            return
         now = self._world.now
         for action in self.node.step(event, now):
             self._carry_out(action)
@@ -278,7 +304,8 @@
         if self._is_over:
             return
         self._tries += 1
-        choices = [one for one in self._day.instances if one.zone == self._zone]
+        well = [one for one in self._day.instances if not one.is_lost]
+        choices = [one for one in well if one.zone == self._zone] or well
         self._instance = self._world.draw.choice(choices)
         self._token = self._day.next_token()
         self._instance.calls[self._token] = self
@@ -336,6 +363,13 @@
             self._day.rejected += 1
             self._tell_end(failure)
 
+    def lose(self) -> None:
+        """The connection to the instance closes."""
+        if self._run is not None and self._engine is not None:
+            self._engine.cancel(self._run)
+            self._run = None
+        self._finish("refused")
+
     def _cancel(self, failure: requests.Failure) -> None:
         if self._run is not None and self._engine is not None:
             self._engine.cancel(self._run)
@@ -492,6 +526,8 @@
             one.tell(node.ConfigurationRead(self.config))
             self._read_register(one, {})
         lead = self.deployment.lead_s
+        for loss in self._day.losses:
+            self.world.at(lead + loss.at, _bind(self._lose_zone, loss.zone))
         for kind in self.deployment.requests:
             for index, zone in enumerate(self._zones):
                 self.world.at(lead, self._make_arrivals(kind, zone, index))
@@ -508,6 +544,11 @@
             self.notes,
         )
 
+    def _lose_zone(self, index: int) -> None:
+        for one in self.instances:
+            if one.zone == self._zones[index]:
+                one.end()
+
     def _read_register(
         self,
         one: _Instance,
--- a/tests/test_core_holder.py
+++ b/tests/test_core_holder.py
@@ -318,3 +318,35 @@
     for _ in range(20):
         bench.advance(0.2)
     assert bench.holder.store_loads >= 1
+
+
+def test_a_model_whose_adapters_nobody_may_order_is_loaded_elsewhere():
+    """The pattern: a busy model on one target of a zone without a holder.
+
+    Guards against adapters that are refused as long as the zone has none,
+    though plain requests for their model are answered there. No target of
+    another zone has a copy of the model, and rare models take time too.
+    """
+    bench = Bench({"e1": ["m1", "m2", "m3"]}, disk=["m1", "m2", "m3"])
+    away = ["m0", "m4", "m5"]
+    other = samples.make_target(
+        "f1", samples.ENGINES, "zone-b", 48, models=away, disk=away
+    )
+    bench.fleet.directory.update(targets.RegisterChanged((other,)), bench.now)
+    bench.holder.use_directory()
+    arrivals = [(name, 1) for name in NAMES]
+    loaded = set()
+    for _ in range(20):
+        bench.holder.use_report(
+            exchange.Report(
+                "qg-2",
+                arrivals=(("m0", 10), *arrivals),
+                adapter_arrivals=(("m0", 5),),
+            ),
+            bench.now,
+        )
+        for order in bench.advance(0.8):
+            bench.answer(order)
+            if order.operation is orders.Operation.LOAD:
+                loaded.add(order.model)
+    assert "m0" in loaded
--- a/tests/test_emulation.py
+++ b/tests/test_emulation.py
@@ -62,6 +62,26 @@
 )
 
 
+def never_served(result, with_adapters):
+    """Returns what was asked for four times or more, and what of it never got.
+
+    Requests for adapters count for their model, or each adapter for itself.
+    """
+    asked = collections.Counter()
+    served = collections.Counter()
+    for _, _, note in result.notes:
+        if note.event != "request":
+            continue
+        model, adapter = note.fields["model"], note.fields["adapter"]
+        is_model = adapter is None or not with_adapters
+        name = model if is_model else f"{model}/{adapter}"
+        asked[name] += 1
+        if note.fields["outcome"] == "answered 200":
+            served[name] += 1
+    wanted = [name for name, count in asked.items() if count >= 4]
+    return wanted, [name for name in wanted if not served[name]]
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_models_without_a_copy_are_brought_in_turn(seed):
     """The pattern: a weight store slower than the models that need it.
@@ -70,15 +90,24 @@
     at most one and a tenth of those asked for (the callers' limit).
     """
     result = run.run_day(FEW_COPIES, run.STANDARD, seed)
-    asked = collections.Counter()
-    served = collections.Counter()
-    for _, _, note in result.notes:
-        if note.event == "request":
-            asked[note.fields["model"]] += 1
-            if note.fields["outcome"] == "answered 200":
-                served[note.fields["model"]] += 1
-    wanted = [model for model, count in asked.items() if count >= 4]
-    never = [model for model in wanted if not served[model]]
+    wanted, never = never_served(result, with_adapters=False)
+    assert len(never) <= 1 + 0.1 * len(wanted)
+
+
+@pytest.mark.parametrize(
+    ("name", "zone", "seed"),
+    [("FERREIRA", 1, 1), ("FERREIRA", 2, 2), ("ALLIANCE", 1, 2)],
+)
+def test_adapters_are_served_when_a_zone_has_no_holder(name, zone, seed):
+    """The pattern: the only instance of a zone is lost, its targets are well.
+
+    Guards against adapters that nobody ever gets, as their model is on one of
+    these targets only: at most one and a tenth of the models and adapters
+    asked for (the callers' limit).
+    """
+    day = dataclasses.replace(run.STANDARD, losses=(run.Loss(3.0, zone),))
+    result = run.run_day(getattr(deployments, name), day, seed)
+    wanted, never = never_served(result, with_adapters=True)
     assert len(never) <= 1 + 0.1 * len(wanted)
 
 
