Load models elsewhere whose adapters nobody may order

Cause: the model's only replica was on a target that gets no orders, in a zone whose only instance was lost, or in a load of six seconds. Adapters are fetched by orders. The holders of other zones counted the replica as one that serves everything, so a load of the model was worth nothing to them.

Now requests for adapters of a model that only such targets have count as worth of a load elsewhere, the last replica that gets orders is kept, and the target that stays free for adapters is one that gets orders.

--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -338,22 +338,21 @@
             return
         self._coverage_at = now + COVERAGE_INTERVAL
         asked = self._demand.asked_models(now)
+        stuck = tuple(
+            one
+            for one in asked
+            if self._demand.adapter_rate(one, now) >= demand.ASKED_RATE
+            and found.is_stranded(one)
+        )
         self._unserved = {
             model: self._unserved.get(model, now)
             for model in asked
-            if not found.is_served(model, now)
+            if model in stuck or not found.is_served(model, now)
         }
         lacking = tuple(one for one in asked if found.lacks_copies(one))
         if lacking != self._without_copy:
             self._without_copy = lacking
             self._note_coverage(len(asked))
-        stuck = tuple(
-            one
-            for one in asked
-            if self._demand.adapter_rate(one, now) >= demand.ASKED_RATE
-            and found.is_served(one, now)
-            and not found.takes_orders(one)
-        )
         if stuck != self._without_orders:
             self._without_orders = stuck
             self._notes.append(
@@ -507,6 +506,10 @@
         def rate(model: ids.ModelName) -> float:
             return self._demand.rate(model, now)
 
+        @functools.cache
+        def adapter_rate(model: ids.ModelName) -> float:
+            return self._demand.adapter_rate(model, now)
+
         @functools.cache
         def count_elsewhere(model: ids.ModelName) -> int:
             # A busy model that another zone only plans to load, or brings from
@@ -526,8 +529,10 @@
             count_elsewhere,
             found.copies_besides,
             found.crowding,
-            functools.cache(
-                lambda model: self._demand.adapter_rate(model, now)
+            adapter_rate,
+            functools.cache(found.orderable),
+            lambda model: (
+                adapter_rate(model) if found.is_stranded(model) else 0.0
             ),
             lambda target, model: found.guard(model) == target,
             lambda model: (
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -87,6 +87,10 @@
         crowding: How full the emptiest target with a model is, as a share of
             its slots.
         adapter_rate: Requests a second for adapters of a model.
+        orderable: Number of targets of the region that have a model and can
+            get an order soon.
+        stranded_rate: Requests a second for adapters of a model that no such
+            target has, though others have it.
         guards: Whether a target is the one of the region that stays free to
             fetch adapters of a model.
         fetched: Whether a target brings a model from the weight store.
@@ -111,6 +115,8 @@
     copies_elsewhere: Callable[[ids.ModelName, ids.TargetId], int]
     crowding: Callable[[ids.ModelName], float]
     adapter_rate: Callable[[ids.ModelName], float]
+    orderable: Callable[[ids.ModelName], int]
+    stranded_rate: Callable[[ids.ModelName], float]
     guards: Callable[[ids.TargetId, ids.ModelName], bool]
     fetched: Callable[[ids.ModelName], bool]
     refused: Collection[ids.ModelName]
@@ -234,7 +240,7 @@
         name
         for one in scene.stocks
         for name in one.replicas
-        if scene.crowding(name) < CROWDED
+        if scene.crowding(name) < CROWDED and not scene.stranded_rate(name)
     }
     names: dict[ids.ModelName, None] = dict.fromkeys(scene.wishes)
     names.update(dict.fromkeys(scene.busy))
@@ -368,7 +374,9 @@
 ) -> tuple[float, str]:
     """Returns what a load is worth, and what it is for."""
     waiting = scene.wishes.get(model, ())
-    if any(model in other.replicas for other in scene.stocks):
+    stranded = scene.stranded_rate(model)
+    is_here = any(model in other.replicas for other in scene.stocks)
+    if is_here:
         # What waits for a crowded model waits for a place, not for a load.
         waiting = ()
     gain = sum(
@@ -380,12 +388,15 @@
     is_busy = rate >= BUSY_RATE
     if is_busy and not waiting:
         why = "busy"
-    if not elsewhere:
+    if stranded:
+        gain += stranded * ADAPTER_MISSES * HORIZON_S
+        why = why if waiting else "adapters"
+    if not elsewhere and not (is_here and stranded):
         gain += rate * HORIZON_S
-    elif is_busy:
+    elif is_busy and elsewhere:
         gain += REPLICA_WORTH / elsewhere
         gain += rate * HORIZON_S * _crowd(scene.crowding(model))
-    elif not waiting:
+    elif not waiting and not stranded:
         return 0.0, why
     if from_store:
         copies = scene.copies_elsewhere(model, one.target)
@@ -440,7 +451,7 @@
     loss = 0.0
     wait = _ZERO
     for name in names:
-        loss += _loss(scene, one, name)
+        loss += _loss(scene, name)
         runs = scene.running.of_model(one.target, name)
         if runs:
             # The longest of several runs decides.
@@ -448,8 +459,18 @@
     return _Room(tuple(names), loss, wait)
 
 
-def _loss(scene: Scene, one: stock.Stock, name: ids.ModelName) -> float:
+def _loss(scene: Scene, name: ids.ModelName) -> float:
     """Returns what the unload of a model takes away."""
+    loss = _request_loss(scene, name)
+    if scene.orderable(name) <= 1:
+        # Nobody could fetch adapters of it any more.
+        adapters = scene.adapter_rate(name) * ADAPTER_MISSES
+        loss = max(loss, adapters * HORIZON_S)
+    return loss
+
+
+def _request_loss(scene: Scene, name: ids.ModelName) -> float:
+    """Returns what is late with one replica less, whatever is asked for."""
     rate = scene.rate(name)
     expected = rate * HORIZON_S
     here = sum(name in other.replicas for other in scene.stocks) - 1
--- a/src/quetzalgauge/core/survey.py
+++ b/src/quetzalgauge/core/survey.py
@@ -73,14 +73,15 @@
     def guard(self, model: ids.ModelName) -> ids.TargetId | None:
         """Returns the target that stays free to fetch adapters of a model.
 
-        All holders choose the same one of the targets that have the model.
+        All holders choose the same one of the targets that have the model and
+        get orders.
         """
         if model not in self._guards:
             self._guards[model] = min(
                 (
                     one.target
                     for one in self._held.get(model, ())
-                    if not one.is_paused
+                    if one.takes_orders and not one.is_paused
                 ),
                 key=lambda target: fleet_module.hash_pair(model, target),
                 default=None,
@@ -117,9 +118,13 @@
             for one in self._held.get(model, ())
         )
 
-    def takes_orders(self, model: ids.ModelName) -> bool:
-        """Whether a target that has a model, or is to have it, gets orders."""
-        return any(one.takes_orders for one in self._held.get(model, ()))
+    def orderable(self, model: ids.ModelName) -> int:
+        """Returns the number of targets with a model that get orders soon."""
+        return sum(one.takes_orders for one in self._held.get(model, ()))
+
+    def is_stranded(self, model: ids.ModelName) -> bool:
+        """Whether only targets have a model that get no orders soon."""
+        return model in self._held and not self.orderable(model)
 
     def is_fetched(self, model: ids.ModelName) -> bool:
         """Whether a target brings a model from the weight store."""
--- a/tests/test_core_placement.py
+++ b/tests/test_core_placement.py
@@ -23,6 +23,8 @@
         "copies_elsewhere": lambda model, target: 1,
         "crowding": lambda model: 0.0,
         "adapter_rate": lambda model: 0.0,
+        "orderable": lambda model: 2,
+        "stranded_rate": lambda model: 0.0,
         "guards": lambda target, model: False,
         "fetched": lambda model: False,
         "refused": (),
--- a/tests/test_emulation.py
+++ b/tests/test_emulation.py
@@ -123,6 +123,8 @@
         lambda *_: 0,
         lambda _: 0.0,
         lambda _: 0.0,
+        lambda _: 0,
+        lambda _: 0.0,
         lambda *_: False,
         lambda _: False,
         (),
