Do not promise orders after the right to give them has ended

Cause: a board told when its holder's wait ends, not whether it may order. A holder whose right had ended in an outage of the store, or whose wait ended while the store did not answer, told all instances that it gives orders at once.

Now a board says so if nothing tells when orders begin, and the beginning and the end of the right are told at once.

--- a/idl/exchange.thrift
+++ b/idl/exchange.thrift
@@ -60,6 +60,7 @@
   2: string holder,
   3: i64 token,
   4: bool complete,
+  // Negative: unknown.
   5: i32 orders_in,
   6: i32 backlog,
   7: i32 instances,
--- a/src/quetzalgauge/core/exchange.py
+++ b/src/quetzalgauge/core/exchange.py
@@ -131,7 +131,8 @@
         holder: The sender.
         token: Its fencing token.
         complete: Whether `targets` has every target of the zone.
-        orders_in: Time until the holder may give orders; zero if it may.
+        orders_in: Time until the holder may give orders; zero if it may, None
+            if nothing tells when.
         backlog: Models that wait for a load and have no target yet.
         instances: Instances that report to the holder, itself included.
         targets: The targets that changed since the last message.
@@ -142,7 +143,7 @@
     holder: ids.InstanceId
     token: int
     complete: bool
-    orders_in: datetime.timedelta
+    orders_in: datetime.timedelta | None
     backlog: int
     instances: int
     targets: tuple[TargetView, ...]
--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -32,7 +32,7 @@
     holder: ids.InstanceId
     token: int
     heard: datetime.timedelta
-    orders_at: datetime.timedelta
+    orders_at: datetime.timedelta | None
     backlog: int
     instances: int
     views: dict[ids.TargetId, "_View"] = dataclasses.field(default_factory=dict)
@@ -160,7 +160,9 @@
             self._boards[zone] = known
         known.token = board.token
         known.heard = now
-        known.orders_at = now + board.orders_in
+        known.orders_at = None
+        if board.orders_in is not None:
+            known.orders_at = now + board.orders_in
         known.backlog = board.backlog
         known.instances = board.instances
         for view in board.targets:
@@ -204,7 +206,10 @@
     def orders_at(
         self, zone: ids.AvailabilityZone, now: datetime.timedelta
     ) -> datetime.timedelta | None:
-        """Returns when a zone's holder may give orders, None: no holder."""
+        """Returns when a zone's holder may give orders.
+
+        None: there is no holder, or nothing tells when.
+        """
         if not self.has_holder(zone, now):
             return None
         return self._boards[zone].orders_at
@@ -347,7 +352,7 @@
     def can_order_at(
         self, one: targets.Description, now: datetime.timedelta
     ) -> datetime.timedelta | None:
-        """Returns when a target can get an order, None: it has no holder."""
+        """Returns when a target can get an order, None as for its zone."""
         orders_at = self.orders_at(one.availability_zone, now)
         if orders_at is None:
             return None
@@ -537,7 +542,11 @@
             "holder": board.holder,
             "token": board.token,
             "age_s": (now - board.heard).total_seconds(),
-            "orders_in_s": (board.orders_at - now).total_seconds(),
+            "orders_in_s": (
+                None
+                if board.orders_at is None
+                else (board.orders_at - now).total_seconds()
+            ),
             "backlog": board.backlog,
             "targets": {
                 target: {
--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -661,7 +661,7 @@
         self,
         since: int | None,
         token: int,
-        orders_in: datetime.timedelta,
+        orders_in: datetime.timedelta | None,
         now: datetime.timedelta,
     ) -> exchange.Board:
         """Returns what has changed since a revision; None: everything."""
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -354,6 +354,8 @@
         if gives == self._gave_orders:
             return
         self._gave_orders = gives
+        # Other instances are to know it at once.
+        self._board_at = now
         fields: dict[str, Any] = {
             "zone": self._identity.availability_zone,
             "token": self._seat.token,
@@ -506,7 +508,7 @@
         is_due = now >= self._board_at
         if is_due:
             self._board_at = now + HEARTBEAT_INTERVAL
-        orders_in = max(_ZERO, self._seat.orders_from - now)
+        orders_in = self._seat.first_order_in(now)
         actions: list[Action] = []
         boards: dict[int | None, exchange.Board] = {}
         for link in self._peers:
--- a/src/quetzalgauge/core/seat.py
+++ b/src/quetzalgauge/core/seat.py
@@ -284,6 +284,20 @@
             return _ZERO
         return self._orders_until
 
+    def first_order_in(
+        self, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """Returns the time until orders may be given, zero if they may.
+
+        None: nothing tells when, as the right has ended or the store has to
+        answer first.
+        """
+        if now < self.may_order_until(now):
+            return _ZERO
+        if self.is_holding and now < self._orders_from:
+            return self._orders_from - now
+        return None
+
     def take_notes(self) -> list[notes.Note]:
         """Returns what changed since the last call."""
         taken, self._notes = self._notes, []
--- a/src/quetzalgauge/node/codec.py
+++ b/src/quetzalgauge/node/codec.py
@@ -16,6 +16,8 @@
 MAX_CONTAINER_LENGTH = 100_000
 # Times are told within a day, as 32-bit milliseconds.
 _LONGEST = datetime.timedelta(days=1)
+# Stands for an unknown time until something that is still to come.
+_UNKNOWN_MS = -1
 
 
 def encode(message: exchange.Message) -> bytes:
@@ -136,7 +138,11 @@
         board.holder,
         board.token,
         board.complete,
-        _milliseconds(board.orders_in),
+        (
+            _UNKNOWN_MS
+            if board.orders_in is None
+            else _milliseconds(board.orders_in)
+        ),
         board.backlog,
         board.instances,
         [_view(view) for view in board.targets],
@@ -175,7 +181,7 @@
         ids.InstanceId(wire.holder),
         wire.token,
         wire.complete,
-        _duration(wire.orders_in),
+        None if wire.orders_in < 0 else _duration(wire.orders_in),
         wire.backlog,
         wire.instances,
         tuple(_decode_view(view) for view in wire.targets),
--- a/tests/core_samples.py
+++ b/tests/core_samples.py
@@ -184,7 +184,7 @@
                 "qg-1",
                 1,
                 complete,
-                seconds(orders_in),
+                None if orders_in is None else seconds(orders_in),
                 backlog,
                 1,
                 tuple(views),
--- a/tests/test_core_gateway.py
+++ b/tests/test_core_gateway.py
@@ -352,6 +352,25 @@
     assert bench.now - arrived <= longest
 
 
+def test_an_adapter_is_not_waited_for_after_the_right_to_order_has_ended():
+    """The pattern: an outage of the store that outlasts the holder's right.
+
+    Guards against the same wait while a holder is there that gives no orders.
+    """
+    bench = engine_bench()
+    views = [samples.view(name, ["m0"]) for name in ("e1", "e2")]
+    bench.publish(*views, orders_in=None)
+    bench.arrive("/live/1", model="m0", adapter="a3")
+    actions = []
+    arrived = bench.now
+    while not actions and bench.now < arrived + samples.seconds(5):
+        actions = bench.advance(samples.ms(50))
+        bench.publish(*views, orders_in=None)
+    (refusal,) = samples.only(actions, requests.Refuse)
+    assert (refusal.status, refusal.run) == (503, False)
+    assert bench.now - arrived <= gateway.UNKNOWN_WAIT + gateway.ADAPTER_WAIT
+
+
 def test_a_stopping_process_refuses_streams_that_it_would_cut():
     """Guards against a late stream that breaks when the process ends.
 
--- a/tests/test_core_seat.py
+++ b/tests/test_core_seat.py
@@ -162,6 +162,25 @@
     assert not one.may_order(now)
 
 
+def test_a_holder_whose_right_has_ended_promises_no_orders():
+    """Guards against callers who wait for orders that nobody may give.
+
+    The store is down for longer than the right lasts, or when it should begin.
+    """
+    store, now = Store(), samples.seconds(0)
+    one = Machine("a", now)
+    now = run_until(one, store, now, samples.seconds(1))
+    assert one.seat.first_order_in(now) == samples.seconds(0)
+    other = Machine("b", now)
+    other.seat.note_last(store.record, now)
+    now += seat.ORDER_TIME + samples.seconds(1)
+    assert one.seat.first_order_in(now) is None
+    now = run_until(other, store, now, now + samples.seconds(1))
+    assert other.seat.first_order_in(now) > LEASE
+    now += seat.ORDER_TIME + LEASE + samples.seconds(1)
+    assert other.seat.first_order_in(now) is None
+
+
 def test_a_restarted_machine_goes_on_at_once():
     """Guards against a long pause after each restart of an instance."""
     store, now = Store(), samples.seconds(0)
