Carry on the wait for a seat that another start has begun

Cause: a member that follows another machine waits 9.2 s from the moment at which it is told that it has the seat. Nobody had given orders meanwhile.

Now the record of a member that waits tells what is left of the wait. Only an active member gives orders, and each writes that it is active before its first, so the rest counts for whoever reads that record as the last one. A member that finds the record of a later one asks the store again before it writes.

Before: both cases of test_a_wait_for_the_seat_goes_on_after_a_restart failed. test_a_holder_reads_its_own_record_as_it_was_written is new with the field. The state machine of two machines with pauses, lost answers, late writes and reassignments passes.

--- a/src/quetzalgauge/core/seat.py
+++ b/src/quetzalgauge/core/seat.py
@@ -10,6 +10,9 @@
 - Whenever the group has changed, a member reads the record of the zone. If the
   last machine that was active is another one, it waits for that time and the
   lease time, from the moment at which it was told that it has the seat.
+- While it waits, its record says how much of the wait is left. Nobody was
+  active since, so whoever has the seat next waits for the rest only, from the
+  moment at which it first saw that record.
 - Before its first order it writes that it is active, on the condition that
   nobody has written since it read.
 
@@ -38,10 +41,13 @@
 LAST_HOLDER_TIME = datetime.timedelta(milliseconds=2500)
 # How often a standby looks whether the seat is taken.
 STANDBY_INTERVAL = datetime.timedelta(seconds=2)
+# How often the record of a member that waits is written anew.
+WAIT_RECORD_INTERVAL = datetime.timedelta(seconds=1.5)
 # Pause after a failed call.
 RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
 
 _ZERO = datetime.timedelta()
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +61,9 @@
         token: Its fencing token.
         active: Whether it may have given orders.
         released: Whether it gives no more orders.
+        wait_left: If it is not active, the time after this record from which
+            the machine that was active before gives no more orders and the
+            lease time has passed. None: not known.
     """
 
     availability_zone: ids.AvailabilityZone
@@ -63,6 +72,7 @@
     token: int
     active: bool = True
     released: bool = False
+    wait_left: datetime.timedelta | None = None
 
 
 class _State(enum.Enum):
@@ -237,6 +247,8 @@
         self._told_at = _ZERO
         self._orders_from = _ZERO
         self._orders_until = _ZERO
+        self._record_at = _ZERO  # When the record is due while waiting.
+        self._asked_for = 0  # Token of a record that led to a question.
         self._next_at = now + delay
         self._last: Record | None = None
         self._last_seen = _ZERO
@@ -371,8 +383,7 @@
             case _State.READING:
                 return ReadRecord(self._zone)
             case _State.WRITING:
-                active = now >= self._orders_from
-                return WriteRecord(self._own_record(active), self._position)
+                return WriteRecord(self._next_record(now), self._position)
             case _State.LEAVING:
                 self._state = _State.STANDBY
                 self._next_at = now + STANDBY_INTERVAL
@@ -398,8 +409,7 @@
 
     def _keep(self, now: datetime.timedelta) -> Action:
         """Keeps the seat, or writes that orders will be given."""
-        is_due = self._has_seat and now >= self._orders_from
-        if is_due and not self._is_active:
+        if self._has_seat and not self._is_active and now >= self._record_at:
             self._state = _State.READING
             return ReadRecord(self._zone)
         return self._join()
@@ -435,8 +445,8 @@
     ) -> None:
         """Sets when the seat is kept next, or when orders may begin."""
         self._next_at = asked_at + RENEW_INTERVAL
-        if not self._is_active and self._orders_from > now:
-            self._next_at = min(self._next_at, self._orders_from)
+        if not self._is_active and self._record_at > now:
+            self._next_at = min(self._next_at, self._record_at)
 
     def _lose(self, now: datetime.timedelta) -> None:
         """The store gave the seat to another, or has not given it yet."""
@@ -466,12 +476,27 @@
             return
         self.note_last(event.record, now)
         self._position = event.position
+        if self._is_from_later_member(event.record):
+            self._state = _State.MEMBER
+            self._next_at = now
+            return
         if self._written is None or event.record != self._written:
             # A wait that has begun is never shortened by what is read later.
             self._orders_from = max(self._orders_from, self._first_order_at())
         self._state = _State.WRITING
         self._next_at = now
 
+    def _is_from_later_member(self, record: Record | None) -> bool:
+        """Whether another member may have had the seat since this one got it.
+
+        The store is asked again, once for each such record.
+        """
+        if record is None or record.token <= self._token:
+            return False
+        is_new = record.token != self._asked_for
+        self._asked_for = record.token
+        return is_new
+
     def _first_order_at(self) -> datetime.timedelta:
         last = self._last
         if last is None or (self._was_last() and last.active):
@@ -479,6 +504,8 @@
         wait = self._lease + CLOCK_MARGIN
         if last.released:
             return self._last_seen + wait
+        if not last.active and last.wait_left is not None:
+            return self._last_seen + last.wait_left
         return self._told_at + ORDER_TIME + wait
 
     def _record_written(
@@ -493,6 +520,7 @@
         self._written = event.record
         self._is_active = event.record.active
         self._state = _State.MEMBER
+        self._record_at = min(self._orders_from, now + WAIT_RECORD_INTERVAL)
         self._plan(now, now)
         self._note(
             "seat_taken",
@@ -508,6 +536,16 @@
     def _was_last(self) -> bool:
         return self._last is not None and self._last.machine == self._machine
 
+    def _next_record(self, now: datetime.timedelta) -> Record:
+        left = self._orders_from - now
+        if left <= _ZERO:
+            return self._own_record(active=True)
+        # The store keeps whole milliseconds.
+        left = -(-left // _MILLISECOND) * _MILLISECOND
+        return dataclasses.replace(
+            self._own_record(active=False), wait_left=left
+        )
+
     def _own_record(self, active: bool) -> Record:
         return Record(
             self._zone, self._machine, self._address, self._token, active
--- a/src/quetzalgauge/platform/seats.py
+++ b/src/quetzalgauge/platform/seats.py
@@ -1,7 +1,9 @@
 """Seats of the zones' holders as groups and records of the store."""
 
 import dataclasses
+import datetime
 import json
+from typing import Any
 
 from quetzalgauge import exceptions
 from quetzalgauge import fields
@@ -14,6 +16,9 @@
 TOPIC = "keyed.holders"
 # The holders of other zones may write at the same time.
 RELEASE_TRIES = 4
+# Longer waits in a record are an error of its writer.
+MAX_WAIT_MS = 60_000
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 def _group(zone: ids.AvailabilityZone) -> str:
@@ -68,13 +73,15 @@
     client: store.Store, record: seat.Record, position: int | None
 ) -> bool:
     """Writes who holds a zone; False if the position has passed."""
-    value = {
+    value: dict[str, Any] = {
         "machine": record.machine,
         "address": record.address,
         "token": record.token,
         "active": record.active,
         "released": record.released,
     }
+    if record.wait_left is not None:
+        value["wait_left_ms"] = record.wait_left // _MILLISECOND
     data = json.dumps(value).encode()
     return client.write(TOPIC, record.availability_zone, data, position)
 
@@ -110,6 +117,10 @@
     except (ValueError, RecursionError) as error:
         raise exceptions.DecodeError(f"holder of {key!r}: {error}") from error
     row = fields.mapping(value, f"holder of {key!r}")
+    wait_left = None
+    if "wait_left_ms" in row:
+        count = min(fields.integer(row, "wait_left_ms"), MAX_WAIT_MS)
+        wait_left = count * _MILLISECOND
     return seat.Record(
         ids.AvailabilityZone(key),
         fields.text(row, "machine"),
@@ -117,4 +128,5 @@
         fields.integer(row, "token"),
         fields.flag(row, "active"),
         fields.flag(row, "released"),
+        wait_left,
     )
--- a/tests/test_core_seat.py
+++ b/tests/test_core_seat.py
@@ -7,6 +7,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 import hypothesis_settings
+import pytest
 
 from quetzalgauge.core import seat
 
@@ -266,6 +267,29 @@
             assert now - last_order > LEASE
 
 
+@pytest.mark.parametrize("successor", ["b", "c"])
+def test_a_wait_for_the_seat_goes_on_after_a_restart(successor):
+    """The pattern: the instances of a zone are stopped and started in turn.
+
+    Guards against a zone without orders for as long as that lasts: each start
+    waited for the whole right of a holder that had long gone.
+    """
+    store, now = Store(), samples.seconds(0)
+    one = Machine("a", now)
+    last_order = now = run_until(one, store, now, samples.seconds(1))
+    other = Machine("b", now)
+    other.seat.note_last(store.record, now)
+    now = run_until(other, store, now, now + samples.seconds(8))
+    assert not other.may_order(now)
+    again = Machine(successor, now)
+    again.seat.note_last(store.record, now)
+    began = now
+    while not again.may_order(now):
+        now = run_until(again, store, now, now + samples.ms(50))
+        assert now < began + samples.seconds(8)
+    assert now - last_order > seat.ORDER_TIME + LEASE
+
+
 class TwoMachines(stateful.RuleBasedStateMachine):
     """Any mixture of pauses, losses and reassignments keeps orders apart.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """Names and formats of the users' platform."""
 
+import datetime
 import json
 import struct
 
@@ -10,6 +11,7 @@
 from quetzalgauge.core import configuration
 from quetzalgauge.core import orders
 from quetzalgauge.core import requests
+from quetzalgauge.core import seat
 from quetzalgauge.platform import config
 from quetzalgauge.platform import engine
 from quetzalgauge.platform import headers
@@ -354,6 +356,27 @@
         seats.decode_record("uy-south-a", encode({**value, "token": "7"}))
 
 
+def test_a_holder_reads_its_own_record_as_it_was_written():
+    """Guards against a wait that begins anew at each look at the record."""
+    written = []
+
+    class Client:
+        def write(self, topic, key, data, position):
+            written.append((key, data))
+            return True
+
+    record = seat.Record(
+        "uy-south-a",
+        "qg-1@10.0.0.1",
+        "10.0.0.1:7380",
+        7,
+        active=False,
+        wait_left=datetime.timedelta(milliseconds=7041),
+    )
+    assert seats.write_record(Client(), record, 3)
+    assert seats.decode_record(*written[0]) == record
+
+
 def test_failures_that_did_not_run_are_exactly_the_promised_ones():
     """Guards against "not run" said of a request that may have run."""
     assert {
