Ask the store before writing over the record of a later member

Cause: the member read the later record, but read it a second time instead of asking the store, and then took it for an old one.

Before: test_a_member_that_was_paused_does_not_write_over_its_successor failed.

--- a/src/quetzalgauge/core/seat.py
+++ b/src/quetzalgauge/core/seat.py
@@ -248,6 +248,8 @@
         self._orders_from = _ZERO
         self._orders_until = _ZERO
         self._record_at = _ZERO  # When the record is due while waiting.
+        # Another member may have the seat, so the store is asked first.
+        self._is_doubtful = False
         self._asked_for = 0  # Token of a record that led to a question.
         self._next_at = now + delay
         self._last: Record | None = None
@@ -409,7 +411,8 @@
 
     def _keep(self, now: datetime.timedelta) -> Action:
         """Keeps the seat, or writes that orders will be given."""
-        if self._has_seat and not self._is_active and now >= self._record_at:
+        is_due = self._has_seat and now >= self._record_at
+        if is_due and not self._is_active and not self._is_doubtful:
             self._state = _State.READING
             return ReadRecord(self._zone)
         return self._join()
@@ -421,6 +424,7 @@
         if event.failed:
             self._next_at = now + RETRY_INTERVAL
             return
+        self._is_doubtful = False
         changed = event.generation != self._generation
         self._generation = event.generation
         if not event.has_seat:
@@ -477,6 +481,7 @@
         self.note_last(event.record, now)
         self._position = event.position
         if self._is_from_later_member(event.record):
+            self._is_doubtful = True
             self._state = _State.MEMBER
             self._next_at = now
             return
--- a/tests/test_core_seat.py
+++ b/tests/test_core_seat.py
@@ -290,6 +290,31 @@
     assert now - last_order > seat.ORDER_TIME + LEASE
 
 
+def test_a_member_that_was_paused_does_not_write_over_its_successor():
+    """Guards against a record that hides who gives orders.
+
+    A member that waits is paused for so long that another one takes the seat
+    and gives orders. Its late record would tell the next one of a short wait.
+    """
+    store, now = Store(), samples.seconds(0)
+    first, paused = Machine("a", now), Machine("b", now)
+    now = run_until(first, store, now, samples.seconds(1))
+    paused.seat.note_last(store.record, now)
+    now = run_until(paused, store, now, now + samples.seconds(8))
+    other = Machine("c", now)
+    other.seat.note_last(store.record, now)
+    while not other.may_order(now):
+        now = run_until(other, store, now, now + samples.ms(50))
+    assert store.record.active
+    for _ in range(20):
+        paused.act(now)
+        paused.answer(store, now)
+        other.act(now)
+        other.answer(store, now)
+        now += samples.ms(50)
+    assert (store.record.machine, store.record.active) == ("c", True)
+
+
 class TwoMachines(stateful.RuleBasedStateMachine):
     """Any mixture of pauses, losses and reassignments keeps orders apart.
 
