Keep a zone to the end of a planned stop

Cause: a holder gave up its zone when its stop began, though its process goes on for up to 7 s. The next holder has to wait for the lease time whenever the zone is given up, so nobody gained by that; where the machine itself starts again it goes on at once.

Now a holder that may give orders goes on until it has nothing in progress or its time is over, and gives up the zone last, within 0.3 s. An instance that is being stopped does not claim a zone.

Before: test_a_planned_stop_keeps_the_zone_to_its_end failed.

--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -221,6 +221,11 @@
         """Whether a planned stop has begun."""
         return self._is_draining
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the zone was given up and the calls for that have ended."""
+        return self._seat.has_left
+
     @property
     def in_progress(self) -> int:
         """Number of requests that have not ended."""
@@ -332,7 +337,9 @@
         """Does what time or the event before has made due."""
         actions: list[Action] = []
         own_zone = self._identity.availability_zone
-        actions += self._seat.act(self._fleet.has_holder(own_zone, now), now)
+        if not self._is_draining or self._seat.is_holding:
+            is_heard = self._fleet.has_holder(own_zone, now)
+            actions += self._seat.act(is_heard, now)
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + HEARTBEAT_INTERVAL
             self._notes += self._fleet.directory.expire(now)
@@ -566,7 +573,15 @@
         self._is_draining = True
         self._gateway.drain(stop_at, now)
         self._notes.append(notes.Note("drain", {"waiting": self.waiting_count}))
+        if now < self._seat.may_order_until(now):
+            # The next holder waits as long whenever it is given up.
+            return []
+        return self.leave()
+
+    def leave(self) -> list[Action]:
+        """Gives up the zone, at the latest before the process ends."""
         self._holder = None
+        self._published.clear()
         self._fleet.lose_holder(self._identity.availability_zone)
         return list(self._seat.leave())
 
--- a/src/quetzalgauge/core/seat.py
+++ b/src/quetzalgauge/core/seat.py
@@ -258,6 +258,7 @@
         # What this process has written since it was told that it has the seat.
         self._written: Record | None = None
         self._yield_until = now + LAST_HOLDER_TIME
+        self._farewells = 0  # Calls of `leave` that have not ended.
         self._busy = False
         self._notes: list[notes.Note] = []
 
@@ -273,6 +274,11 @@
         """Whether this instance is the zone's holder, as far as it knows."""
         return self._has_seat and self._state is not _State.LEFT
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the seat was given up and the store told so, or not told."""
+        return self._state is _State.LEFT and self._farewells <= 0
+
     @property
     def token(self) -> int:
         """The fencing token of this holder."""
@@ -330,6 +336,8 @@
         """Takes an answer of the store."""
         self._busy = False
         if self._state is _State.LEFT:
+            if isinstance(event, Left):
+                self._farewells -= 1
             return
         match event:
             case Joined():
@@ -370,6 +378,7 @@
         actions: list[Action] = [Leave(self._zone, self._machine)]
         if active:
             actions.insert(0, Release(self._own_record(active=True)))
+        self._farewells = len(actions)
         return actions
 
     # ---- Steps
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -51,6 +51,8 @@
 STOP_MARGIN = datetime.timedelta(milliseconds=900)
 # Callers get an answer for what is cut within this time.
 CUT_TIME = datetime.timedelta(milliseconds=400)
+# The store is told within this time that the zone is given up.
+LEAVE_TIME = datetime.timedelta(milliseconds=300)
 # How often the settings file is looked at; it may change without a signal.
 SETTINGS_INTERVAL_SECONDS = 2.0
 # Threads for callers: each request in progress holds one.
@@ -93,6 +95,7 @@
         self._stopped = threading.Event()
         self._drain_began: datetime.timedelta | None = None
         self._is_cut = False
+        self._leave_by: datetime.timedelta | None = None
         self._meters_at = _ZERO
         self._limits_version = -1
         self._hang_up = threading.Event()
@@ -351,7 +354,14 @@
             for action in self._node.cut_off(now):
                 self._carry_out(action)
         is_idle = elapsed >= SHORTEST_DRAIN and not self._node.in_progress
-        if is_idle or elapsed >= limit + CUT_TIME:
+        if (is_idle or self._is_cut) and self._leave_by is None:
+            self._leave_by = now + LEAVE_TIME
+            for action in self._node.leave():
+                self._carry_out(action)
+        if self._leave_by is None:
+            return
+        has_left = self._node.has_left or now >= self._leave_by
+        if (is_idle and has_left) or elapsed >= limit + CUT_TIME:
             self._log.write("stop", {"requests": self._node.in_progress})
             self._stopped.set()
 
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -9,7 +9,9 @@
 
 import pytest
 
+from quetzalgauge.platform import seats
 from quetzalgauge.platform import standin
+from quetzalgauge.platform import store
 from quetzalgauge.standins import nodes
 
 pytestmark = pytest.mark.process
@@ -294,6 +296,27 @@
     assert instance.process.wait(10) == 0
 
 
+def test_a_planned_stop_keeps_the_zone_to_its_end(world, fleet):
+    """Guards against a zone without orders while its holder drains."""
+    instance = fleet.instances[2]
+    until = time.monotonic() + 20
+    while instance.dump()["seat"]["orders_for_s"] <= 0:
+        assert time.monotonic() < until
+        time.sleep(0.2)
+    instance.signal(signal.SIGTERM)
+    time.sleep(1.5)
+    assert not instance.is_ready()
+    assert instance.dump()["seat"]["orders_for_s"] > 0
+    status, _, _ = ask(fleet.instances[0], "/live/1", Model="m1/a7")
+    assert status == 200
+    assert instance.process.wait(10) == 0
+    client = store.Store(str(world.store.server.address))
+    record, _ = seats.read_record(client, "zone-b")
+    assert record.released
+    fleet.start(instance)
+    fleet.wait_ready(instance)
+
+
 def test_a_killed_holder_is_followed_by_another(world, fleet):
     """Guards against a zone whose engines get no orders any more."""
     instance = fleet.instances[1]
