--- a/tests/test_core_seat.py
+++ b/tests/test_core_seat.py
@@ -404,7 +404,7 @@
 
 TestTwoMachines = TwoMachines.TestCase
 TestTwoMachines.settings = hypothesis_settings.make(
-    max_examples=80, stateful_step_count=30
+    max_examples=200, stateful_step_count=60
 )
 
 
