--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -482,9 +482,7 @@
         if self._seat.is_holding == (self._holder is not None):
             return []
         if not self._seat.is_holding:
-            self._holder = None
-            self._published.clear()
-            self._fleet.lose_holder(self._identity.availability_zone)
+            self._drop_holder()
             return []
         self._holder = holder_module.Holder(
             self._identity.availability_zone,
@@ -580,10 +578,13 @@
 
     def leave(self) -> list[Action]:
         """Gives up the zone, at the latest before the process ends."""
+        self._drop_holder()
+        return list(self._seat.leave())
+
+    def _drop_holder(self) -> None:
         self._holder = None
         self._published.clear()
         self._fleet.lose_holder(self._identity.availability_zone)
-        return list(self._seat.leave())
 
     def dump(self, now: datetime.timedelta) -> dict[str, Any]:
         """Returns the state as JSON values."""
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -391,6 +391,7 @@
     if stranded:
         gain += stranded * ADAPTER_MISSES * HORIZON_S
         why = why if waiting else "adapters"
+    # Plain requests are served by a stranded replica, also by one here.
     if not elsewhere and not (is_here and stranded):
         gain += rate * HORIZON_S
     elif is_busy and elsewhere:
--- a/src/quetzalgauge/core/seat.py
+++ b/src/quetzalgauge/core/seat.py
@@ -276,7 +276,7 @@
 
     @property
     def has_left(self) -> bool:
-        """Whether the seat was given up and the store told so, or not told."""
+        """Whether the seat was given up and the calls for that have ended."""
         return self._state is _State.LEFT and self._farewells <= 0
 
     @property
