--- a/src/quetzalgauge/core/holder.py
+++ b/src/quetzalgauge/core/holder.py
@@ -338,7 +338,7 @@
             return
         self._coverage_at = now + COVERAGE_INTERVAL
         asked = self._demand.asked_models(now)
-        stuck = tuple(
+        stranded = tuple(
             one
             for one in asked
             if self._demand.adapter_rate(one, now) >= demand.ASKED_RATE
@@ -347,18 +347,21 @@
         self._unserved = {
             model: self._unserved.get(model, now)
             for model in asked
-            if model in stuck or not found.is_served(model, now)
+            if model in stranded or not found.is_served(model, now)
         }
         lacking = tuple(one for one in asked if found.lacks_copies(one))
         if lacking != self._without_copy:
             self._without_copy = lacking
             self._note_coverage(len(asked))
-        if stuck != self._without_orders:
-            self._without_orders = stuck
+        if stranded != self._without_orders:
+            self._without_orders = stranded
             self._notes.append(
                 notes.Note(
                     "models_without_orders",
-                    {"count": len(stuck), "models": list(stuck[:MAX_NAMES])},
+                    {
+                        "count": len(stranded),
+                        "models": list(stranded[:MAX_NAMES]),
+                    },
                 )
             )
 
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -346,7 +346,7 @@
             self._fleet.expire(now)
             self._note_zones(now)
             actions += self._report(now)
-        self._note_right(now)
+        self._watch_right(now)
         wishes = self._gateway.wanted
         if wishes.is_urgent or (wishes.has_changed and now >= self._report_at):
             actions += self._report(now)
@@ -354,8 +354,8 @@
             actions += self._act_as_holder(now)
         return actions
 
-    def _note_right(self, now: datetime.timedelta) -> None:
-        """Notes when this instance's right to give orders begins or ends."""
+    def _watch_right(self, now: datetime.timedelta) -> None:
+        """Tells all when this instance's right to give orders begins or ends."""
         until = self._seat.may_order_until(now)
         gives = now < until
         if gives == self._gave_orders:
