--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -355,7 +355,7 @@
         return actions
 
     def _watch_right(self, now: datetime.timedelta) -> None:
-        """Tells all when this instance's right to give orders begins or ends."""
+        """Tells all when the right to give orders begins or ends."""
         until = self._seat.may_order_until(now)
         gives = now < until
         if gives == self._gave_orders:
