Believe less of what faulty targets send

Reported by operators of similar systems; test_faulty_targets plays each report against a real process, with targets that write raw bytes on kept connections.

Causes and changes: - A rejected request could be sent again on the same pooled connection, where a second copy of the rejection then counted as the response: connections now remember what was rejected on them. - Status 102 with Not-Run, a success with Not-Run and a success without a stamp were believed; such heads are malformed now. - A stream that broke off was joined to an error sent with status 200, or ended as complete by an empty response. A resumed response must have the media type of the first and go on with the next event. - A stream was resumed, or started anew, after events without an id. The text 'id:' within an event even lost the id of the event. There is no resume now unless the last event has an id. - Any byte restarted the idle timeout, and a head that trickled lasted until the deadline. Only events with data count now, and the core cancels attempts that have no head at their first-byte deadline. - Requests that may run more than once got 503, a promise that they did not run, after a target may have run them; they get 502 or 504. - A stop refused a stream that waited to resume, in the middle of it.

--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -56,6 +56,9 @@
 BUSY_TOLERANCE = datetime.timedelta(milliseconds=30)
 # Interval of the checks of all requests that run without any event.
 REQUEST_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
+# Time beyond the first-byte deadline after which an attempt without the head
+# of a response is canceled, although bytes of the head keep arriving.
+HEAD_TIMEOUT_MARGIN = datetime.timedelta(milliseconds=50)
 # Weight of the newest request in the moving average of the service time.
 SERVICE_TIME_EWMA_WEIGHT = 0.1
 
@@ -101,6 +104,7 @@
     not_before: datetime.timedelta = _ZERO
     adapter_deadline: datetime.timedelta = _ZERO
     sent_at: datetime.timedelta = _ZERO
+    head_deadline: datetime.timedelta = datetime.timedelta.max
     send_count: int = 0
     response_started: bool = False
     caller_disconnected: bool = False
@@ -264,9 +268,7 @@
                     )
                 )
             elif request.phase is not _Phase.FINISHED:
-                actions += self._refuse(
-                    request, "stopping", DEFAULT_RETRY_AFTER, now
-                )
+                actions += self._end_unserved(request, "stopping", now)
         return actions
 
     def _handle_arrival(
@@ -570,6 +572,7 @@
             now,
             request.deadline,
         )
+        request.head_deadline = first_byte_deadline + HEAD_TIMEOUT_MARGIN
         self._log_send(request, target, now)
         return [
             requests.Send(
@@ -764,7 +767,7 @@
         may_have_run = request.may_have_run
         is_late = now >= request.deadline - timeouts.RESPONSE_MARGIN
         status = 503
-        if may_have_run and not request.route.is_retryable:
+        if may_have_run:
             status = 504 if is_late else 502
         if reason == "unknown_model":
             status = 404
@@ -842,7 +845,8 @@
             return self._handle_success(request, target, event, now)
         request.failures.append(event.failure)
         request.has_buffered_response = event.has_buffered_response
-        if event.last_event_id:
+        if request.response_started or event.last_event_id:
+            # Empty if the last event that was passed on has no id.
             request.last_event_id = event.last_event_id
         self._log_failure(request, target, event, now)
         self._record_failure(request, target, event, now)
@@ -939,11 +943,7 @@
             return self._end_unserved(request, failure.value, now)
         if self._count_attempts_used(request) >= request.route.max_attempts:
             return self._end_unserved(request, "attempts_used", now)
-        if (
-            request.response_started
-            and not request.last_event_id
-            and request.head.model is None
-        ):
+        if request.response_started and not request.last_event_id:
             return self._end_unserved(request, failure.value, now)
         if (
             request.has_buffered_response
@@ -1012,6 +1012,15 @@
                             request.local_id, requests.Failure.DEADLINE_EXCEEDED
                         )
                     )
+                elif now >= request.head_deadline and not request.cancelled:
+                    request.head_deadline = datetime.timedelta.max
+                    actions.append(
+                        requests.CancelAttempt(
+                            request.local_id,
+                            requests.Failure.IDLE_TIMEOUT,
+                            only_before_head=True,
+                        )
+                    )
             elif request.phase is _Phase.QUEUED:
                 actions += self._refuse_if_unservable(request, now) or []
         for key in self._queues.nonempty_keys():
--- a/src/quetzalgauge/core/requests.py
+++ b/src/quetzalgauge/core/requests.py
@@ -212,10 +212,16 @@
     """Cancel the attempt in progress with this failure.
 
     The attempt may end with another outcome before that.
+
+    Attributes:
+        local_id: The request.
+        failure: The failure.
+        only_before_head: Do nothing once the head of a response was received.
     """
 
     local_id: int
     failure: Failure
+    only_before_head: bool = False
 
 
 Action: TypeAlias = Send | Relay | Refuse | Abort | CancelAttempt
--- a/src/quetzalgauge/emulation/run.py
+++ b/src/quetzalgauge/emulation/run.py
@@ -444,6 +444,8 @@
                 self._loop.schedule_after(
                     NETWORK_LATENCY_S, lambda: self._submit_to_engine(action)
                 )
+            case requests.CancelAttempt(only_before_head=True):
+                pass  # Emulated targets send the head at once.
             case requests.CancelAttempt():
                 self._cancel_on_engine(action.failure)
             case requests.Refuse():
@@ -506,10 +508,13 @@
     def _post_attempt_ended(self, failure: requests.Failure) -> None:
         assert self._instance is not None
         instance, local_id = self._instance, self._local_id
+        last_event_id = "" if self._first_byte_at_s is None else "1"
         self._loop.schedule_after(
             NETWORK_LATENCY_S,
             lambda: instance.post_event(
-                requests.AttemptEnded(local_id, failure)
+                requests.AttemptEnded(
+                    local_id, failure, last_event_id=last_event_id
+                )
             ),
         )
 
--- a/src/quetzalgauge/node/connections.py
+++ b/src/quetzalgauge/node/connections.py
@@ -5,18 +5,17 @@
 import threading
 import time
 from typing import Any
-from typing import TypeAlias
 
 import urllib3.connection
 
 from quetzalgauge import exceptions
 
-Connection: TypeAlias = urllib3.connection.HTTPConnection
-
 # Longer than the pauses within a burst of requests, shorter than the usual
 # time after which firewalls drop the state of an idle connection.
 MAX_IDLE_SECONDS = 5.0
 MAX_IDLE_PER_KEY = 32
+# A connection on which more requests were rejected is closed.
+MAX_REJECTED_IDS = 64
 
 # Keep-alive probes detect a peer that has disappeared without closing the
 # connection, both in the pool and while a response is awaited.
@@ -30,6 +29,20 @@
 ]
 
 
+class Connection(urllib3.connection.HTTPConnection):
+    """A connection to a target.
+
+    Attributes:
+        rejected_ids: Ids of the requests that were rejected on it. None of them
+            is sent on it again: a second copy of the rejection, sent by a
+            faulty target, would be taken for the response to the new attempt.
+    """
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.rejected_ids: set[str] = set()
+
+
 class AttemptError(exceptions.QuetzalgaugeError):
     """An attempt failed.
 
@@ -49,6 +62,7 @@
         self._lock = threading.Lock()
         self._sock: socket.socket | None = None
         self._cancel_reason: Any = None
+        self._has_head = False
 
     @property
     def cancel_reason(self) -> Any:
@@ -76,9 +90,28 @@
         with self._lock:
             self._sock = None
 
-    def cancel(self, reason: Any) -> None:
-        """Cancels the attempt; a blocked read returns at once."""
+    def record_head(self) -> None:
+        """Records that the head of the response was received.
+
+        Raises:
+            AttemptError: The attempt has been canceled.
+        """
         with self._lock:
+            self._has_head = True
+        if self._cancel_reason is not None:
+            raise AttemptError(self._cancel_reason)
+
+    def cancel(self, reason: Any, only_before_head: bool = False) -> None:
+        """Cancels the attempt; a blocked read returns at once.
+
+        Args:
+            reason: The failure with which the attempt ends.
+            only_before_head: Do nothing once the head of the response was
+                received.
+        """
+        with self._lock:
+            if only_before_head and self._has_head:
+                return
             self._cancel_reason = reason
             if self._sock is not None:
                 with contextlib.suppress(OSError):
@@ -96,14 +129,24 @@
         self._lock = threading.Lock()
         self._idle_connections: dict[str, list[tuple[float, Connection]]] = {}
 
-    def acquire(self, key: str) -> Connection | None:
-        """Returns an open connection that was used recently, or None."""
+    def acquire(self, key: str, request_id: str) -> Connection | None:
+        """Returns an open connection that was used recently, or None.
+
+        Args:
+            key: The key.
+            request_id: Id of the request to send; connections on which it was
+                rejected are left out.
+        """
         while True:
             with self._lock:
-                entries = self._idle_connections.get(key)
-                if not entries:
+                entries = self._idle_connections.get(key, [])
+                for index in reversed(range(len(entries))):
+                    idle_since, connection = entries[index]
+                    if request_id not in connection.rejected_ids:
+                        del entries[index]
+                        break
+                else:
                     return None
-                idle_since, connection = entries.pop()
             if (
                 time.monotonic() - idle_since < MAX_IDLE_SECONDS
                 and connection.is_connected
@@ -114,11 +157,15 @@
     def release(self, key: str, connection: Connection) -> None:
         """Adds a connection whose last response was read completely.
 
-        It is closed instead if there are enough for this key.
+        It is closed instead if there are enough for this key, or if too many
+        requests were rejected on it.
         """
         with self._lock:
             entries = self._idle_connections.setdefault(key, [])
-            if len(entries) < MAX_IDLE_PER_KEY:
+            if (
+                len(entries) < MAX_IDLE_PER_KEY
+                and len(connection.rejected_ids) <= MAX_REJECTED_IDS
+            ):
                 entries.append((time.monotonic(), connection))
                 return
         connection.close()
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -342,7 +342,9 @@
             case requests.CancelAttempt():
                 active_request = self._active_requests.get(action.local_id)
                 if active_request is not None:
-                    active_request.attempt.cancel(action.failure)
+                    active_request.attempt.cancel(
+                        action.failure, action.only_before_head
+                    )
             case (
                 requests.Send()
                 | requests.Relay()
--- a/src/quetzalgauge/node/streams.py
+++ b/src/quetzalgauge/node/streams.py
@@ -9,6 +9,7 @@
 
 _END_MARKER = re.compile(rb"(?:\A|\n)data: ?\[DONE\]\r?\n\r?\n", re.DOTALL)
 _ID_LINE = re.compile(rb"^id: ?([^\r\n]*)\r?$", re.MULTILINE)
+_DATA_LINE = re.compile(rb"^data:", re.MULTILINE)
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -31,6 +32,7 @@
         self._has_end_marker = has_end_marker
         self._partial_event = b""
         self._last_data_with_id = b""
+        self._has_later_data = False
         self._last_received_id: int | None = None
         self._is_done = False
 
@@ -46,9 +48,21 @@
 
     @property
     def last_event_id(self) -> str:
-        """The id of the last event that was passed on, empty if none."""
-        event_ids = _ID_LINE.findall(self._last_data_with_id)
-        return event_ids[-1].decode("latin-1") if event_ids else ""
+        """The id of the last event that was passed on, empty if it has none.
+
+        A stream cannot resume after an event without an id: nothing tells
+        whether another response would repeat that event.
+        """
+        if self._has_later_data:
+            return ""
+        data = self._last_data_with_id
+        matches = list(_ID_LINE.finditer(data))
+        if not matches:
+            return ""
+        end = _EVENT_END.search(data, matches[-1].start())
+        if end is not None and has_data(data[end.end() :]):
+            return ""
+        return matches[-1].group(1).decode("latin-1")
 
     def resume(self) -> None:
         """Prepares for a new response that resumes after `last_event_id`.
@@ -91,8 +105,11 @@
             if marker is not None:
                 self._is_done = True
                 return data[: marker.end()]
-        if b"id:" in data:
+        if data.startswith(b"id:") or b"\nid:" in data:
             self._last_data_with_id = data
+            self._has_later_data = False
+        elif has_data(data):
+            self._has_later_data = True
         return data
 
     def _drop_repeated_events(self, data: bytes) -> bytes:
@@ -104,8 +121,13 @@
             id_line = _ID_LINE.search(data, start, end)
             event_id = id_line.group(1) if id_line else b""
             if not event_id.isdigit():
-                # The end marker and comments may have no id.
-                self._last_received_id = None
+                event = data[start:end]
+                if self._is_end_marker(event):
+                    self._last_received_id = None
+                elif has_data(event):
+                    raise StreamError("an event after a resume has no id")
+                else:
+                    start = end
             elif int(event_id) <= self._last_received_id:
                 start = end
             elif int(event_id) == self._last_received_id + 1:
@@ -114,6 +136,14 @@
                 raise StreamError("events are missing after a resume")
         return data[start:]
 
+    def _is_end_marker(self, event: bytes) -> bool:
+        return self._has_end_marker and _END_MARKER.fullmatch(event) is not None
+
+
+def has_data(events: bytes) -> bool:
+    """Returns whether complete events have data; comments have none."""
+    return _DATA_LINE.search(events) is not None
+
 
 def _find_last_event_end(data: bytes) -> int:
     """Returns the offset after the last complete event, 0 if there is none."""
--- a/src/quetzalgauge/node/upstream.py
+++ b/src/quetzalgauge/node/upstream.py
@@ -14,7 +14,6 @@
 from typing import TypeAlias
 
 import urllib3._collections
-import urllib3.connection
 import urllib3.exceptions
 import urllib3.response
 from urllib3.util import request as urllib3_request
@@ -74,7 +73,10 @@
         self._pool = connections.ConnectionPool()
 
     def acquire_connection(
-        self, action: requests.Send, attempt: connections.Attempt
+        self,
+        action: requests.Send,
+        request_id: str,
+        attempt: connections.Attempt,
     ) -> tuple[connections.Connection, bool]:
         """Returns a connection and whether it has been used before.
 
@@ -83,12 +85,12 @@
                 was canceled; no byte was sent.
         """
         if not action.needs_new_connection:
-            idle = self._pool.acquire(_make_pool_key(action))
+            idle = self._pool.acquire(_make_pool_key(action), request_id)
             if idle is not None:
                 return idle, True
         host, _, port = action.address.rpartition(":")
         remaining = self._get_remaining_seconds(action.deadline.total_seconds())
-        connection = urllib3.connection.HTTPConnection(
+        connection = connections.Connection(
             host,
             int(port),
             timeout=max(0.001, min(CONNECT_TIMEOUT_SECONDS, remaining)),
@@ -143,10 +145,14 @@
                 decode_content=False,
             )
             response = connection.getresponse()
+        attempt.record_head()
         head = wire_headers.decode_response(response.status, response.headers)
         if head.request_id != request.request_id:
             raise connections.AttemptError(requests.Failure.WRONG_REQUEST_ID)
+        if head.is_malformed:
+            raise connections.AttemptError(requests.Failure.MALFORMED_RESPONSE)
         if head.is_rejection:
+            connection.rejected_ids.add(request.request_id)
             self._discard_rejection(connection, response, action, attempt)
             raise connections.AttemptError(_classify_rejection(head, action))
         return response, head
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -172,6 +172,7 @@
         self._writer = _ResponseWriter(request, context)
         self._event_filter = streams.EventFilter(has_end_marker=False)
         self._buffered_response: upstream.BufferedResponse | None = None
+        self._stream_type: str | None = None
         self._connection_reused = False
         self._longest_gap_seconds = 0.0
         self._arrived_at = context.now()
@@ -187,6 +188,11 @@
 
     def _execute(self, action: requests.Action) -> bool:
         """Executes an action; returns whether it was the last one."""
+        if self._writer.is_started and isinstance(
+            action, requests.Relay | requests.Refuse
+        ):
+            # The caller would find this response within the one that began.
+            action = requests.Abort(action.local_id)
         match action:
             case requests.Send():
                 return self._run_attempt(action)
@@ -225,7 +231,7 @@
         try:
             connection, self._connection_reused = (
                 self._context.upstream_client.acquire_connection(
-                    action, attempt
+                    action, self._outgoing.request_id, attempt
                 )
             )
             return self._exchange(action, connection, attempt)
@@ -312,6 +318,12 @@
     ) -> None:
         client = self._context.upstream_client
         event_filter = self._event_filter
+        media_type = _get_media_type(response)
+        if self._stream_type is not None and media_type != self._stream_type:
+            # A resumed stream has the type of the one that began.
+            raise connections.AttemptError(requests.Failure.MALFORMED_RESPONSE)
+        is_resumed = self._writer.is_started
+        has_events = False
         if action.last_event_id:
             event_filter.resume_after(action.last_event_id)
         read_deadline = action.first_byte_deadline.total_seconds()
@@ -329,16 +341,31 @@
                 last_read_at = now
                 events = event_filter.feed(data)
                 if events:
+                    self._stream_type = media_type
                     self._write_events(response, events)
-                read_deadline = min(
-                    now + idle_timeout, action.deadline.total_seconds()
-                )
+                # Bytes without an event, and comments, are no progress.
+                if not streams.has_data(events):
+                    if now > read_deadline:
+                        raise connections.AttemptError(
+                            requests.Failure.IDLE_TIMEOUT
+                        )
+                else:
+                    has_events = True
+                    read_deadline = min(
+                        now + idle_timeout, action.deadline.total_seconds()
+                    )
         except streams.StreamError as error:
             raise connections.AttemptError(
                 requests.Failure.MALFORMED_RESPONSE
             ) from error
-        # The body ended within an event or before any event was relayed.
-        if event_filter.has_partial_event or not self._writer.is_started:
+        # The body ended within an event or before any event was relayed. A
+        # resumed response without events does not show that the stream is
+        # complete.
+        if (
+            event_filter.has_partial_event
+            or not self._writer.is_started
+            or (is_resumed and not has_events)
+        ):
             raise connections.AttemptError(requests.Failure.CONNECTION_LOST)
         client.release_connection(connection, response, action, attempt)
         self._context.post_event(
@@ -377,6 +404,11 @@
             )
 
 
+def _get_media_type(response: upstream.Response) -> str:
+    value = response.headers.get("Content-Type", "")
+    return value.partition(";")[0].strip().lower()
+
+
 def _is_connection_released(error: connections.AttemptError) -> bool:
     """Returns whether the connection has been released or closed already.
 
--- a/src/quetzalgauge/platform/headers.py
+++ b/src/quetzalgauge/platform/headers.py
@@ -21,6 +21,7 @@
 _TOKEN_COUNTS = "Token-Counts"
 _PRIORITY = "Request-Priority"
 _RETRY_AFTER = "Retry-After"
+_STAMP = "Response-Stamp"
 
 # Only the system may set these; they are dropped from a caller's request. A
 # caller could otherwise choose its target or priority, or reserve capacity.
@@ -66,12 +67,15 @@
         status: HTTP status.
         request_id: Id of the request in the response, None if absent.
         is_rejection: Whether the target states that it did not run the request.
+        is_malformed: Whether the head contradicts itself or is no final
+            response, so that nothing it says can be relied on.
         target: Id of the target that responded, None if absent.
     """
 
     status: int
     request_id: str | None
     is_rejection: bool
+    is_malformed: bool
     target: str | None
 
 
@@ -180,12 +184,18 @@
     """Returns what the status and headers of a target's response say.
 
     A target that answers 421 (misdirected request) has not run the request,
-    with or without a Not-Run header.
+    with or without a Not-Run header. A success has the target's stamp and
+    cannot be a rejection; a status below 200 is no final response.
     """
+    is_rejection = headers.get(_NOT_RUN) is not None or status == 421
+    is_success = 200 <= status < 300
     return ResponseHead(
         status,
         headers.get(_REQUEST_ID),
-        headers.get(_NOT_RUN) is not None or status == 421,
+        is_rejection,
+        status < 200
+        or (is_rejection and status < 400)
+        or (is_success and headers.get(_STAMP) is None),
         headers.get(_TARGET),
     )
 
--- /dev/null
+++ b/src/quetzalgauge/standins/faulty_target.py
@@ -0,0 +1,182 @@
+"""A target that violates the protocol as a script tells it to.
+
+It writes raw bytes, so it can also send what no HTTP server would: a response
+twice, parts of responses, or bytes that are no response.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import dataclasses
+import json
+import socket
+import threading
+import time
+from typing import TypeAlias
+
+_RECEIVE_BYTES = 65_536
+_MAX_HEAD_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request as the target has received it.
+
+    Attributes:
+        request_id: Value of the Request-Id header.
+        headers: Header values by lower-case name.
+        connection: Number of the connection, counted from 1.
+        position: Number of the request on its connection, counted from 1.
+    """
+
+    request_id: str
+    headers: dict[str, str]
+    connection: int
+    position: int
+
+
+# Bytes are sent, a number is a pause in seconds. The connection is closed at
+# the end of a script whose last item is None.
+Script: TypeAlias = Callable[[Request], Iterable[bytes | float | None]]
+
+
+class FaultyTarget:
+    """A target of a plain service that responds as its script says.
+
+    Args:
+        name: Id of the target.
+        service: Service that the target belongs to.
+        zone: Availability zone of the target.
+
+    Attributes:
+        script: Called with each request; tests replace it.
+        requests: All requests received, in order of arrival.
+    """
+
+    def __init__(self, name: str, service: str, zone: str) -> None:
+        self.name = name
+        self.script: Script = make_response
+        self.requests: list[Request] = []
+        self._service = service
+        self._zone = zone
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._started_at_ms = int(time.time() * 1000)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def registry_entry(self) -> bytes:
+        """The target's entry in the registry."""
+        host, port = self._listener.getsockname()
+        return json.dumps(
+            {
+                "service": self._service,
+                "address": f"{host}:{port}",
+                "zone": self._zone,
+                "version": "v1",
+                "slots": 16,
+                "state": "ready",
+                "seq": 1,
+                "cold_left_ms": 0,
+                "born": self._started_at_ms,
+            }
+        ).encode()
+
+    def close(self) -> None:
+        """Stops listening; open connections end with their scripts."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self) -> None:
+        connection = 0
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                connection += 1
+                threading.Thread(
+                    target=self._serve, args=(sock, connection), daemon=True
+                ).start()
+
+    def _serve(self, sock: socket.socket, connection: int) -> None:
+        buffer = bytearray()
+        position = 0
+        with sock, contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            while headers := _receive_request(sock, buffer):
+                position += 1
+                request = Request(
+                    headers.get("request-id", ""), headers, connection, position
+                )
+                self.requests.append(request)
+                for item in self.script(request):
+                    if item is None:
+                        return
+                    if isinstance(item, bytes):
+                        sock.sendall(item)
+                    else:
+                        time.sleep(item)
+
+
+def _receive_request(sock: socket.socket, buffer: bytearray) -> dict[str, str]:
+    """Reads a request; returns its headers, none at the end of the data."""
+    while b"\r\n\r\n" not in buffer and len(buffer) < _MAX_HEAD_BYTES:
+        data = sock.recv(_RECEIVE_BYTES)
+        if not data:
+            return {}
+        buffer += data
+    head, _, rest = bytes(buffer).partition(b"\r\n\r\n")
+    headers = {"": ""}
+    for line in head.decode("latin-1").split("\r\n")[1:]:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    missing = int(headers.get("content-length", "0")) - len(rest)
+    while missing > 0:
+        data = sock.recv(_RECEIVE_BYTES)
+        if not data:
+            return {}
+        rest += data
+        missing -= len(data)
+    buffer[:] = rest[len(rest) + missing :] if missing < 0 else b""
+    return headers
+
+
+def make_head(
+    request_id: str, status: int = 200, **headers: str | int
+) -> bytes:
+    """Returns the head of a response; successes have a stamp."""
+    lines = [f"HTTP/1.1 {status} Status", f"Request-Id: {request_id}"]
+    if 200 <= status < 300:
+        lines.append(f"Response-Stamp: stamp-{request_id}")
+    lines += [
+        f"{name.replace('_', '-')}: {value}" for name, value in headers.items()
+    ]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def make_response(request: Request, body: bytes = b"ok") -> Iterable[bytes]:
+    """Returns a sound response."""
+    return [make_head(request.request_id, Content_Length=len(body)) + body]
+
+
+def make_rejection(request: Request) -> bytes:
+    """Returns a response that says that the request did not run."""
+    return make_head(request.request_id, 503, Not_Run=1, Content_Length=0)
+
+
+def make_stream_head(request: Request) -> bytes:
+    """Returns the head of a stream in chunks."""
+    return make_head(
+        request.request_id,
+        Content_Type="text/event-stream",
+        Transfer_Encoding="chunked",
+    )
+
+
+def make_chunk(data: bytes) -> bytes:
+    """Returns a chunk of a body; an empty one ends the body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def make_event(number: int, text: str = "text") -> bytes:
+    """Returns an event with an id as a chunk."""
+    return make_chunk(b"id: %d\ndata: %b\n\n" % (number, text.encode()))
--- a/tests/test_core_gateway.py
+++ b/tests/test_core_gateway.py
@@ -243,6 +243,48 @@
     assert second.last_event_id == "7"
 
 
+def test_a_stop_aborts_a_stream_that_waits_to_resume():
+    """Guards against a refusal that is written into a stream.
+
+    The process stops while a stream that has begun waits for a target.
+    """
+    harness = make_engine_harness()
+    harness.submit("/live/1", model="m0")
+    harness.handle_event(requests.ResponseStarted(harness.local_id))
+    for name in ("e1", "e2"):
+        harness.fleet.record_full(name, harness.now)
+    harness.fail_attempt(Failure.CONNECTION_LOST, last_event_id="7")
+    (action,) = harness.gateway.abort_requests(harness.now)
+    assert isinstance(action, requests.Abort)
+
+
+def test_a_head_that_trickles_ends_its_attempt():
+    """Guards against a target that sends the head of a response for seconds."""
+    harness = make_plain_harness()
+    (send,) = harness.submit("/look/1")
+    wait = send.first_byte_deadline - harness.now + gateway.HEAD_TIMEOUT_MARGIN
+    (action,) = harness.advance(wait)
+    assert action.only_before_head
+    assert action.failure is Failure.IDLE_TIMEOUT
+    assert harness.advance(samples.ms(60)) == []
+
+
+@pytest.mark.parametrize(
+    ("path", "model"), [("/look/1", None), ("/live/1", "m0")]
+)
+def test_a_request_that_may_have_run_is_not_answered_503(path, model):
+    """Guards against a status that promises that the request did not run.
+
+    Such a request may run again, but the caller must not be told that it did
+    not run.
+    """
+    harness = make_engine_harness() if model else make_plain_harness()
+    harness.submit(path, model=model)
+    harness.fail_attempt(Failure.CONNECTION_LOST)
+    (refusal,) = harness.fail_attempt(Failure.CONNECTION_LOST)
+    assert (refusal.status, refusal.may_have_run) == (502, True)
+
+
 def test_an_interrupted_stream_that_may_not_run_twice_is_aborted():
     """Guards against a response that joins parts of two runs."""
     harness = make_engine_harness()
--- /dev/null
+++ b/tests/test_faulty_targets.py
@@ -0,0 +1,448 @@
+"""Tests an instance in front of targets that violate the protocol.
+
+The load is two targets of one service, one or both of which send wrong bytes
+on kept connections, as operators of similar systems reported.
+"""
+
+import http.client
+import itertools
+import json
+import socket
+import time
+
+import pytest
+
+from quetzalgauge.platform import standin
+from quetzalgauge.standins import faulty_target
+from quetzalgauge.standins import local_cluster
+
+pytestmark = pytest.mark.process
+
+SERVICE = "odd"
+MODELS = {"m0": standin.ModelSpec()}
+REQUEST_NUMBERS = itertools.count(1)
+END = faulty_target.make_chunk(b"")
+
+
+def make_configuration():
+    configuration = standin.make_configuration(MODELS)
+    template = configuration["routes"][2]
+    for name, kind, options in (
+        ("ask", "safe", {}),
+        ("once", "unsafe", {"attempts": 1}),
+        ("tell", "stream", {"can_resume": True, "gap_aim_ms": 150}),
+        ("show", "stream", {"attempts": 1, "gap_aim_ms": 150}),
+    ):
+        configuration["routes"].append(
+            {
+                **template,
+                "name": name,
+                "path_prefix": f"/{name}/",
+                "kind": kind,
+                "service": SERVICE,
+                "timeout_ms": 6000,
+                **options,
+            }
+        )
+    configuration["services"].append({"name": SERVICE, "max_conns": 100})
+    return configuration
+
+
+@pytest.fixture(scope="module")
+def site():
+    running_site = standin.Site([], MODELS)
+    running_site.start()
+    running_site.write_configuration({**make_configuration(), "version": 2})
+    yield running_site
+    running_site.stop()
+
+
+@pytest.fixture(scope="module")
+def instance(site, tmp_path_factory):
+    cluster = local_cluster.LocalCluster(
+        tmp_path_factory.mktemp("instances"),
+        str(site.store.server.address),
+        ["zone-a"],
+    )
+    cluster.start_all()
+    yield cluster.instances[0]
+    cluster.kill_all()
+
+
+@pytest.fixture
+def pair(site, instance):
+    """Two new targets of the service, which are removed after the test."""
+    number = next(REQUEST_NUMBERS)
+    targets = [
+        faulty_target.FaultyTarget(f"odd-{number}-{side}", SERVICE, "zone-a")
+        for side in "ab"
+    ]
+    for target in targets:
+        site.store.put("keyed.servers", target.name, target.registry_entry)
+    wait_for(
+        lambda: (
+            {target.name for target in targets}
+            <= instance.dump()["targets"].keys()
+        )
+    )
+    yield targets
+    for target in targets:
+        site.store.put("keyed.servers", target.name, b"")
+        target.close()
+    wait_for(lambda: not instance.dump()["targets"])
+
+
+def wait_for(condition):
+    deadline = time.monotonic() + 10
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.05)
+
+
+def make_request_id():
+    return f"q{next(REQUEST_NUMBERS)}"
+
+
+def send(instance, path, request_id=None, timeout_ms=5000):
+    """Sends a request on a new connection; returns status and body.
+
+    The body is None if the response is incomplete.
+    """
+    connection = http.client.HTTPConnection(*instance.address, timeout=15)
+    headers = {
+        "Host": standin.HOST,
+        "Request-Id": request_id or make_request_id(),
+        "Deadline-Ms": str(timeout_ms),
+    }
+    try:
+        connection.request("POST", path, b"x", headers)
+        response = connection.getresponse()
+        try:
+            return response.status, response.read()
+        except (http.client.HTTPException, OSError):
+            return response.status, None
+    except (http.client.HTTPException, OSError):
+        return 0, None
+    finally:
+        connection.close()
+
+
+def set_script(targets, script):
+    for target in targets:
+        target.script = script
+
+
+def test_second_copy_of_a_response_reaches_no_other_caller(instance, pair):
+    """Guards against the response of another request.
+
+    A target sends its response again, late, when the connection has been used
+    for the next request.
+    """
+
+    def script(request):
+        body = request.request_id.encode()
+        (response,) = faulty_target.make_response(request, body)
+        copies.append(response)
+        if request.position > 1:
+            yield copies[-2]
+            yield 0.02
+        yield response
+
+    copies = []
+    set_script(pair, script)
+    for _ in range(30):
+        request_id = make_request_id()
+        status, body = send(instance, "/ask/1", request_id)
+        assert status != 200 or body == request_id.encode()
+
+
+def test_copy_of_a_rejection_does_not_say_that_a_request_did_not_run(
+    instance, pair
+):
+    """Guards against "not run" for a request that a target is running.
+
+    A target rejects a request. It gets the request again on the same
+    connection, runs it, and sends the first rejection once more.
+    """
+    running = set()
+
+    def make_script():
+        rejected = set()
+
+        def script(request):
+            if request.request_id not in {key for _, key in rejected}:
+                rejected.add((request.connection, request.request_id))
+                yield faulty_target.make_rejection(request)
+                return
+            running.add(request.request_id)
+            if (request.connection, request.request_id) in rejected:
+                yield faulty_target.make_rejection(request)
+            yield 0.05
+            yield from faulty_target.make_response(request)
+
+        return script
+
+    for target in pair:
+        target.script = make_script()
+    for path in ("/ask/1", "/once/1", "/tell/1"):
+        for _ in range(6):
+            request_id = make_request_id()
+            status, _ = send(instance, path, request_id)
+            assert status not in (429, 503) or request_id not in running
+    assert running
+
+
+@pytest.mark.parametrize("status", [100, 102, 103, 199])
+def test_interim_response_is_no_response(instance, pair, status):
+    """Guards against a 1xx status, with a rejection in it, that is believed."""
+
+    def script(request):
+        yield faulty_target.make_head(request.request_id, status, Not_Run=1)
+        yield 0.05
+        yield from faulty_target.make_response(request)
+
+    set_script(pair, script)
+    for path in ("/ask/1", "/once/1"):
+        assert send(instance, path)[0] in (200, 502, 504)
+    unsafe = [r for t in pair for r in t.requests if "1" in r.headers]
+    assert len(unsafe) == len({request.request_id for request in unsafe})
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nResponse-Stamp: s\r\n"
+        b"Not-Run: 1\r\nContent-Length: 2\r\n\r\nok",
+        b"junk %b\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nResponse-Stamp: s\r\n"
+        b"Content-Length: 9\r\n\r\nok",
+    ],
+    ids=["no stamp", "success that did not run", "junk", "truncated"],
+)
+def test_contradictory_response_ends_the_attempt(instance, pair, head):
+    """Guards against a response that is passed on though it is invalid.
+
+    Nothing such a response says counts, so the request may have run.
+    """
+    set_script(pair, lambda r: [head % r.request_id.encode(), None])
+    for path in ("/ask/1", "/once/1"):
+        assert send(instance, path)[0] in (502, 504)
+    assert [len(target.requests) for target in pair] != [0, 0]
+
+
+def test_lost_response_is_neither_repeated_nor_called_not_run(instance, pair):
+    """Guards against a booking that runs twice or is said not to have run.
+
+    The target runs the request and closes the connection without a response.
+    """
+    set_script(pair, lambda request: [0.05, None])
+    request_ids = [make_request_id() for _ in range(8)]
+    for request_id in request_ids:
+        assert send(instance, "/once/1", request_id)[0] == 502
+    for _ in range(4):
+        assert send(instance, "/ask/1")[0] in (502, 504)
+    arrived = [r.request_id for target in pair for r in target.requests]
+    assert [arrived.count(request_id) for request_id in request_ids] == [1] * 8
+
+
+ERRORS = {
+    "error": lambda r: [
+        faulty_target.make_head(r.request_id, 500, Content_Length=5) + b"error"
+    ],
+    "rejection": lambda r: [faulty_target.make_rejection(r)],
+    "error as success": lambda r: [
+        faulty_target.make_head(
+            r.request_id, Content_Type="application/json", Content_Length=17
+        )
+        + b'{"error": "x"}\n\n\n'
+    ],
+    "error as event": lambda r: [
+        faulty_target.make_stream_head(r),
+        faulty_target.make_chunk(b"event: error\ndata: failed\n\n"),
+        END,
+    ],
+    "empty": lambda r: [faulty_target.make_stream_head(r), END],
+    "skipped": lambda r: [
+        faulty_target.make_stream_head(r),
+        faulty_target.make_event(5),
+        END,
+    ],
+    "comments": lambda r: [
+        faulty_target.make_stream_head(r),
+        faulty_target.make_chunk(b": x\n\n" + b"id: 2\ndata: text\n\n"),
+        END,
+    ],
+}
+
+
+@pytest.mark.parametrize("error", ERRORS)
+def test_error_after_a_stream_began_stays_out_of_it(instance, pair, error):
+    """Guards against an error text, or a false end, in a caller's stream.
+
+    The first target sends three events and breaks off. The next one responds
+    with an error instead of going on.
+    """
+    first = []
+
+    def script(request):
+        if not first or "last-event-id" not in request.headers:
+            first.append(request)
+            yield faulty_target.make_stream_head(request)
+            for number in (1, 2, 3):
+                yield faulty_target.make_event(number)
+            yield 0.05
+            yield None
+            return
+        yield from ERRORS[error](request)
+
+    set_script(pair, script)
+    status, body = send(instance, "/tell/1")
+    assert (status, body) == (200, None)
+    assert sum(len(target.requests) for target in pair) >= 2
+
+
+@pytest.mark.parametrize(
+    "event",
+    [b"data: no id\n\n", b"data: paid: 5\n\n"],
+    ids=["without id", "id in the text"],
+)
+def test_stream_does_not_resume_after_an_event_without_id(
+    instance, pair, event
+):
+    """Guards against events that a resumed stream repeats."""
+
+    def script(request):
+        yield faulty_target.make_stream_head(request)
+        yield faulty_target.make_event(1)
+        yield 0.05
+        yield faulty_target.make_chunk(event)
+        yield 0.05
+        yield None
+
+    set_script(pair, script)
+    assert send(instance, "/tell/1") == (200, None)
+    assert sum(len(target.requests) for target in pair) == 1
+
+
+def test_resumed_stream_is_complete_and_in_order(instance, pair):
+    """The same break, with a second target that goes on as it should."""
+
+    def script(request):
+        start = int(request.headers.get("last-event-id", "0"))
+        yield faulty_target.make_stream_head(request)
+        for number in range(start + 1, 7):
+            yield faulty_target.make_event(number, "paid: 20")
+            if start == 0 and number == 3:
+                yield None
+                return
+        yield END
+
+    set_script(pair, script)
+    status, body = send(instance, "/tell/1")
+    assert status == 200
+    assert [line for line in body.split(b"\n") if line.startswith(b"id:")] == [
+        b"id: %d" % number for number in range(1, 7)
+    ]
+
+
+TRICKLES = {
+    "head": lambda r: itertools.chain(
+        [b"HTTP/1.1 200 OK\r\nX: "], *itertools.repeat([b"a", 0.1], 100)
+    ),
+    "event": lambda r: itertools.chain(
+        [faulty_target.make_stream_head(r), faulty_target.make_event(1)],
+        *itertools.repeat([faulty_target.make_chunk(b"d"), 0.1], 100),
+    ),
+    "comments": lambda r: itertools.chain(
+        [faulty_target.make_stream_head(r), faulty_target.make_event(1)],
+        *itertools.repeat([faulty_target.make_chunk(b": x\n\n"), 0.1], 100),
+    ),
+}
+
+
+@pytest.mark.parametrize("trickle", TRICKLES)
+def test_trickling_stream_is_left_for_another_target(instance, pair, trickle):
+    """Guards against a stalled stream that a byte now and then keeps alive."""
+    stalled = []
+
+    def script(request):
+        if not stalled:
+            stalled.append(request)
+            yield from TRICKLES[trickle](request)
+            return
+        start = int(request.headers.get("last-event-id", "0"))
+        yield faulty_target.make_stream_head(request)
+        for number in range(start + 1, 4):
+            yield faulty_target.make_event(number)
+        yield END
+
+    set_script(pair, script)
+    started_at = time.monotonic()
+    status, body = send(instance, "/tell/1")
+    assert status == 200
+    assert body is not None
+    assert body.count(b"id: ") == 3
+    assert time.monotonic() - started_at < 4
+
+
+@pytest.mark.parametrize("path", ["/tell/1", "/show/1"])
+def test_slow_sound_stream_is_not_cut(instance, pair, path):
+    """Guards against cutting a stream whose events come slowly.
+
+    No target is faster, so a resumed stream must be given time in the end.
+    Callers wait up to 2 s for an event.
+    """
+
+    def script(request):
+        start = int(request.headers.get("last-event-id", "0"))
+        yield faulty_target.make_stream_head(request)
+        for number in range(start + 1, 5):
+            yield faulty_target.make_event(number)
+            yield 0.8
+        yield END
+
+    set_script(pair, script)
+    status, body = send(instance, path)
+    assert status == 200
+    assert body is not None
+    assert body.count(b"id: ") == 4
+
+
+def test_endless_interim_responses_end_in_time(instance, pair):
+    """Guards against a worker thread that reads 100 Continue forever."""
+    set_script(
+        pair,
+        lambda r: itertools.chain.from_iterable(
+            itertools.repeat([b"HTTP/1.1 100 Continue\r\n\r\n", 0.01], 1500)
+        ),
+    )
+    started_at = time.monotonic()
+    assert send(instance, "/once/1", timeout_ms=1500)[0] in (502, 504)
+    assert time.monotonic() - started_at < 3
+    wait_for(lambda: not instance.dump()["gateway"]["requests"])
+
+
+def test_caller_sees_a_kept_connection_without_foreign_bytes(instance, pair):
+    """Guards against bytes of a broken stream on a caller's next response."""
+    set_script(
+        pair,
+        lambda r: [
+            faulty_target.make_stream_head(r),
+            faulty_target.make_event(1),
+            None,
+        ],
+    )
+    request = (
+        f"POST /show/1 HTTP/1.1\r\nHost: {standin.HOST}\r\n"
+        f"Request-Id: {make_request_id()}\r\nDeadline-Ms: 3000\r\n"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
+    with socket.create_connection(instance.address, timeout=5) as caller:
+        caller.sendall(request)
+        received = b""
+        while data := caller.recv(65536):
+            received += data
+    assert received.count(b"HTTP/1.1") == 1
+    assert not received.endswith(b"0\r\n\r\n")
+    assert json.dumps(instance.dump()["gateway"]["requests"]) == "[]"
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -16,7 +16,7 @@
 from quetzalgauge.node import connections
 from quetzalgauge.node import upstream
 
-HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n"
 SECOND = datetime.timedelta(seconds=1)
 
 
@@ -60,7 +60,9 @@
     )
     request = upstream.OutgoingRequest("GET", "/look/1", (), b"", "r1")
     client = upstream.UpstreamClient(now)
-    connection, _ = client.acquire_connection(action, attempt)
+    connection, _ = client.acquire_connection(
+        action, request.request_id, attempt
+    )
     try:
         response, _ = client.send_request(connection, request, action, attempt)
         return client.read_response(response, action, attempt)
