Compare only loads that can win when a placement is chosen

Cause: a decision evaluated each model on each available target, counted the replicas of a model over all targets for each such pair, and planned evictions anew for each size of a model.

Change: placement_index collects what depends only on a model or only on a target, once a decision; facts about models are shared by the decisions of a pass. Models are compared in the order of an upper bound of their score, up to the first that cannot win. Counts of running requests and soft deadlines are kept until a report changes.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 KNOWN_RED := $(shell sed -n 's/^ *test: *//p' KNOWN-RED.txt)
 
-.PHONY: setup test lint format demo report generate clean
+.PHONY: setup test lint format demo report bench generate clean
 
 setup: $(STAMP)
 
@@ -31,6 +31,9 @@
 report: setup
 	$(BIN)/python tools/policy_report.py
 
+bench: setup
+	$(BIN)/python tools/placement_bench.py
+
 # Needs the Debian package thrift-compiler. The result is committed, so that a
 # build needs no generator.
 generate:
--- a/src/quetzalgauge/core/demand.py
+++ b/src/quetzalgauge/core/demand.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 import datetime
 import math
@@ -110,6 +111,11 @@
 
     def __init__(self) -> None:
         self._reports: dict[ids.InstanceId, _ReceivedReport] = {}
+        # Derived from the reports; None after a change.
+        self._running: RunningCounts | None = None
+        self._soft_deadlines: (
+            dict[ids.ModelName, list[datetime.timedelta]] | None
+        ) = None
         self._arrivals = _ArrivalRates()
         self._adapter_arrivals = _ArrivalRates()
         self._priors: dict[ids.ModelName, float] = {}
@@ -125,6 +131,7 @@
     ) -> None:
         """Applies the report of an instance."""
         self._reports[report.instance] = _ReceivedReport(report, now)
+        self._forget_derived()
         for model, count in report.arrivals:
             self._arrivals.add(model, count, now)
         for model, count in report.adapter_arrivals:
@@ -133,6 +140,7 @@
     def remove_instance(self, instance: ids.InstanceId) -> None:
         """Drops an instance whose connection broke."""
         self._reports.pop(instance, None)
+        self._forget_derived()
 
     def expire_reports(self, now: datetime.timedelta) -> None:
         """Drops reports that are too old."""
@@ -142,6 +150,11 @@
             if now - received.received_at > REPORT_TTL
         ]:
             del self._reports[instance]
+            self._forget_derived()
+
+    def _forget_derived(self) -> None:
+        self._running = None
+        self._soft_deadlines = None
 
     def set_priors(
         self,
@@ -210,13 +223,15 @@
 
     def get_soft_deadlines(
         self,
-    ) -> dict[ids.ModelName, list[datetime.timedelta]]:
+    ) -> Mapping[ids.ModelName, Sequence[datetime.timedelta]]:
         """Returns the soft deadlines of the requests that wait for each model.
 
         For each model, a report lists the slack (the time until the soft
         deadline) of a limited number of requests. The remaining requests get
         the deadline of the last one listed.
         """
+        if self._soft_deadlines is not None:
+            return self._soft_deadlines
         by_model: dict[ids.ModelName, list[datetime.timedelta]] = {}
         for received in self._reports.values():
             for demand in received.report.model_demands:
@@ -227,6 +242,7 @@
                 if deadlines and unlisted > 0:
                     deadlines += [deadlines[-1]] * unlisted
                 by_model.setdefault(demand.model, []).extend(deadlines)
+        self._soft_deadlines = by_model
         return by_model
 
     def iter_adapter_demand(self) -> Iterator[peer_messages.AdapterDemand]:
@@ -240,10 +256,13 @@
 
     def count_running(self) -> "RunningCounts":
         """Returns the requests in progress over all instances."""
+        if self._running is not None:
+            return self._running
         counts = RunningCounts()
         for received in self._reports.values():
             for row in received.report.running:
                 counts.add(row)
+        self._running = counts
         return counts
 
 
--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -11,17 +11,15 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
-from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import datetime
-import itertools
-import math
 from typing import TypeAlias
 
 from quetzalgauge import ids
 from quetzalgauge.core import demand
+from quetzalgauge.core import placement_index
 from quetzalgauge.core import target_state
 
 # Value of a request served after its soft deadline, relative to one served in
@@ -58,12 +56,6 @@
 ADAPTER_MISS_RATIO = 0.5
 # Utilization (share of slots in use) above which requests begin to be late.
 HIGH_UTILIZATION = 0.6
-# Models loaded more recently than this are not evicted, so that the requests
-# that they were loaded for can arrive.
-MIN_RESIDENCY = datetime.timedelta(milliseconds=300)
-# Typical remaining time of a request that runs when its model is to be
-# unloaded.
-REMAINING_RUN_TIME = datetime.timedelta(seconds=1.5)
 # A load is deferred if a busy target is expected to finish it sooner than the
 # available ones by more than this.
 MIN_WAIT_BENEFIT = datetime.timedelta(milliseconds=250)
@@ -71,10 +63,40 @@
 # after this delay, so that a model with too low a rate to justify an eviction
 # is not refused forever.
 STARVATION_DELAY = datetime.timedelta(seconds=5)
-# Maximum number of models evicted for one load.
-MAX_VICTIMS = 2
+# Bounds of scores are this much larger, since floating-point sums in another
+# order may differ by rounding.
+BOUND_MARGIN = 1.0 + 1e-9
 
-_ZERO = datetime.timedelta()
+
+@dataclasses.dataclass(slots=True)
+class ModelFacts:
+    """What the value of a load depends on besides its target.
+
+    Attributes:
+        deadlines: Soft deadlines of the requests that a load would serve.
+        base_values: Values that do not depend on when the load is ready.
+        is_worthless: Whether no load of the model has any value.
+        reason: Reason of a load that is no fetch.
+        copy_value: Value of the only cached copy of the model.
+        unserved_factor: Factor for the time without a target that serves it.
+        max_gain: Value of a load from a copy that serves all requests in time.
+        max_fetch_gain: The same for a load from the weight store.
+    """
+
+    deadlines: Sequence[datetime.timedelta]
+    base_values: tuple[float, ...]
+    is_worthless: bool
+    reason: str
+    copy_value: float
+    unserved_factor: float
+
+    max_gain: float = dataclasses.field(init=False)
+    max_fetch_gain: float = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        gain = len(self.deadlines) + sum(self.base_values)
+        self.max_gain = gain * self.unserved_factor
+        self.max_fetch_gain = (gain + self.copy_value) * self.unserved_factor
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,6 +140,10 @@
             starts, as a fraction of its length. It differs between availability
             zones, so that they do not pick the same one of several equal models
             at the same time.
+        facts: Facts about models that earlier decisions have collected, by
+            model and whether the zone has it. Decisions may share them while
+            nothing but `target_states`, `planned_models` and
+            `store_load_budget` changes. None if they are not shared.
     """
 
     target_states: Sequence[target_state.TargetState]
@@ -139,6 +165,7 @@
     store_load_budget: int
     pressure: float
     prefetch_offset: float = 0.0
+    facts: dict[tuple[ids.ModelName, bool], ModelFacts] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,13 +198,6 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _EvictionPlan:
-    victims: tuple[ids.ModelName, ...]
-    cost: float
-    drain_time: datetime.timedelta
-
-
 def choose_placement(
     context: PlacementContext, now: datetime.timedelta, allow_prefetch: bool
 ) -> PlacementDecision | None:
@@ -202,54 +222,91 @@
         allow_prefetch or context.soft_deadlines or context.hot_models
     ):
         return None
-    costs = _CostCache(context, now)
+    costs = _Costs(context, available, now)
+    index = costs.index
+    shared_facts = {} if context.facts is None else context.facts
+    facts: dict[ids.ModelName, ModelFacts] = {}
+    bounds: dict[ids.ModelName, float] = {}
+    for model in _list_candidate_models(context, index, allow_prefetch):
+        key = (model, index.count_replicas(model) > 0)
+        model_facts = shared_facts.get(key)
+        if model_facts is None:
+            model_facts = shared_facts[key] = _collect_facts(context, *key)
+        from_copy, from_store = index.find_min_load_seconds(
+            model, _may_fetch(context, model, allow_prefetch)
+        )
+        bound = BOUND_MARGIN * max(
+            _bound_score(model_facts.max_gain, from_copy),
+            _bound_score(model_facts.max_fetch_gain, from_store),
+        )
+        if bound > 0.0 and not model_facts.is_worthless:
+            facts[model] = model_facts
+            bounds[model] = bound
     best: PlacementDecision | None = None
-    for model in _list_candidate_models(context, allow_prefetch):
+    best_position = 0
+    # Models whose bound is below the best score so far cannot win. Of equal
+    # scores, the one of the earlier candidate counts.
+    for bound, position, model in placement_index.rank_by_bound(bounds):
+        if best is not None and bound < best.score:
+            break
         decision = _choose_for_model(
-            context, costs, available, model, now, allow_prefetch
+            context, costs, facts[model], model, now, allow_prefetch
         )
         if decision is not None and (
-            best is None or decision.score > best.score
+            best is None
+            or (decision.score, -position) > (best.score, -best_position)
         ):
-            best = decision
+            best, best_position = decision, position
     return best
 
 
+def _bound_score(max_gain: float, seconds: float) -> float:
+    return max_gain / max(placement_index.MIN_LOAD_SECONDS, seconds)
+
+
+def _may_fetch(
+    context: PlacementContext, model: ids.ModelName, allow_prefetch: bool
+) -> bool:
+    """Whether a model may be loaded from the weight store now.
+
+    Prefetches from there are considered only when all prefetch candidates are,
+    so that they are compared with each other.
+    """
+    return (
+        context.store_load_budget > 0
+        and (allow_prefetch or model in context.soft_deadlines)
+        and not context.is_fetching(model)
+    )
+
+
 def _choose_for_model(
     context: PlacementContext,
-    costs: "_CostCache",
-    available: Sequence[target_state.TargetState],
+    costs: "_Costs",
+    facts: ModelFacts,
     model: ids.ModelName,
     now: datetime.timedelta,
     allow_prefetch: bool,
 ) -> PlacementDecision | None:
     """Returns the best load of one model that can start now."""
-    # Prefetches from the weight store are considered only when all prefetch
-    # candidates are, so that they are compared with each other.
-    may_fetch = (
-        context.store_load_budget > 0
-        and (allow_prefetch or model in context.soft_deadlines)
-        and not context.is_fetching(model)
+    index = costs.index
+    states = (
+        index.available
+        if _may_fetch(context, model, allow_prefetch)
+        else index.list_copy_holders(model)
     )
     decisions = [
         decision
-        for state in available
+        for state in states
         if model not in state.replicas
-        and (may_fetch or state.has_copy(model))
-        and (decision := _evaluate_load(context, costs, state, model, now))
+        and (decision := _evaluate_load(context, costs, facts, state, model))
         is not None
     ]
     if not decisions:
         return None
     # Wait for a busy target if it would have the model ready much sooner.
-    soonest = min(
-        [decision.ready_at for decision in decisions]
-        + [
-            state.available_at + state.estimate_load_time(model)
-            for state in context.target_states
-            if state not in available and _can_load_next(state, model)
-        ]
-    )
+    soonest = min(decision.ready_at for decision in decisions)
+    for ready_at in index.list_busy_ready_times(model):
+        soonest = min(soonest, ready_at)
     return max(
         (
             candidate
@@ -261,20 +318,10 @@
     )
 
 
-def _can_load_next(
-    state: target_state.TargetState, model: ids.ModelName
-) -> bool:
-    """Returns whether a busy target may be able to load a model next."""
-    return (
-        state.is_synced
-        and model in state.engine.models
-        and not state.description.is_draining
-        and len(state.replicas) > 1
-    )
-
-
 def _list_candidate_models(
-    context: PlacementContext, allow_prefetch: bool
+    context: PlacementContext,
+    index: placement_index.PlacementIndex,
+    allow_prefetch: bool,
 ) -> list[ids.ModelName]:
     """Returns the models to consider, in a fixed order without duplicates.
 
@@ -283,8 +330,7 @@
     """
     excluded = {
         model
-        for state in context.target_states
-        for model in state.replicas
+        for model in index.loaded_models
         if context.min_utilization(model) < HIGH_UTILIZATION
         and not context.stranded_adapter_rate(model)
     }
@@ -293,74 +339,127 @@
     )
     candidates.update(dict.fromkeys(context.hot_models))
     if allow_prefetch:
-        for state in context.target_states:
-            models = list(state.engine.models)
+        engines = {
+            id(state.engine): state.engine for state in context.target_states
+        }
+        for engine in engines.values():
+            models = list(engine.models)
             start = int(len(models) * context.prefetch_offset)
             candidates.update(dict.fromkeys(models[start:] + models[:start]))
     excluded.update(context.planned_models.values())
     return [model for model in candidates if model not in excluded]
 
 
-class _CostCache:
-    """Memoizes costs per target; valid for one decision."""
+class _Costs:
+    """Costs of loads on each target; valid for one decision."""
 
     def __init__(
-        self, context: PlacementContext, now: datetime.timedelta
+        self,
+        context: PlacementContext,
+        available: Sequence[target_state.TargetState],
+        now: datetime.timedelta,
     ) -> None:
         self._context = context
         self._now = now
-        self._eviction_plans: dict[
-            tuple[ids.TargetId, float], _EvictionPlan | None
-        ] = {}
         self._sole_copy_rates: dict[ids.TargetId, float] = {}
+        self._adapter_rates: dict[
+            ids.TargetId, list[tuple[ids.ModelName, float]]
+        ] = {}
+        self._copy_eviction_steps: dict[
+            ids.TargetId, list[tuple[float, float]]
+        ] = {}
+        self.index = placement_index.PlacementIndex(
+            context.target_states,
+            available,
+            context.soft_deadlines,
+            lambda model: _compute_eviction_cost(context, self.index, model),
+            context.running_counts.count_for_model,
+            now,
+        )
 
-    def get_eviction_plan(
-        self, state: target_state.TargetState, size_mb: float
-    ) -> _EvictionPlan | None:
-        """Returns the cheapest way to free memory, None if there is none."""
-        key = (state.target, size_mb)
-        if key not in self._eviction_plans:
-            self._eviction_plans[key] = _plan_eviction(
-                self._context, state, size_mb, self._now
-            )
-        return self._eviction_plans[key]
+    @property
+    def now(self) -> datetime.timedelta:
+        """The time of the decision."""
+        return self._now
 
     def get_sole_copy_rate(self, state: target_state.TargetState) -> float:
         """Returns the request rate of models that only this target can load."""
         if state.target not in self._sole_copy_rates:
             self._sole_copy_rates[state.target] = _compute_sole_copy_rate(
-                self._context, state
+                self._context, self.index, state
             )
         return self._sole_copy_rates[state.target]
 
+    def compute_adapter_cost(
+        self,
+        state: target_state.TargetState,
+        victims: Collection[ids.ModelName],
+        seconds: float,
+    ) -> float:
+        """Returns the cost of adapter requests that are late during a load.
+
+        A target cannot load adapters while it loads a model.
+        """
+        rates = self._adapter_rates.get(state.target)
+        if rates is None:
+            rates = self._adapter_rates[state.target] = [
+                (model, rate)
+                for model in state.replicas
+                if (rate := self._context.adapter_request_rate(model))
+                and self._context.is_reserved_for_adapters(state.target, model)
+            ]
+        rate = sum(rate for model, rate in rates if model not in victims)
+        return rate * seconds * ADAPTER_MISS_RATIO * (1.0 - LATE_REQUEST_VALUE)
+
+    def compute_copy_eviction_cost(
+        self, state: target_state.TargetState, size_mb: float
+    ) -> float:
+        """Returns the value of the copies evicted from disk by a new one."""
+        steps = self._copy_eviction_steps.get(state.target)
+        if steps is None:
+            steps = self._copy_eviction_steps[state.target] = (
+                _list_copy_eviction_steps(self._context, state)
+            )
+        free_mb, _ = steps[0]
+        missing_mb = size_mb - free_mb
+        cost = 0.0
+        for freed_mb, value in steps[1:]:
+            if missing_mb <= 0:
+                break
+            missing_mb -= freed_mb
+            cost += value
+        return cost
+
 
 def _evaluate_load(
     context: PlacementContext,
-    costs: _CostCache,
+    costs: _Costs,
+    facts: ModelFacts,
     state: target_state.TargetState,
     model: ids.ModelName,
-    now: datetime.timedelta,
 ) -> PlacementDecision | None:
     """Returns the load of a model on a target if it is worth its cost."""
     spec = state.engine.models.get(model)
-    from_store = not state.has_copy(model)
     if spec is None:
         return None
-    plan = costs.get_eviction_plan(state, spec.size_mb)
+    plan = costs.index.find_eviction_plan(state, spec.size_mb)
     if plan is None:
         return None
+    from_store = not state.has_copy(model)
+    max_gain = facts.max_fetch_gain if from_store else facts.max_gain
+    if max_gain * BOUND_MARGIN <= plan.cost:
+        return None
     unload_time = target_state.UNLOAD_TIME * len(plan.victims)
-    ready_at = (
-        now + plan.drain_time + unload_time + state.estimate_load_time(model)
-    )
-    gain, reason = _compute_gain(context, state, model, ready_at, from_store)
-    seconds = (ready_at - now).total_seconds()
-    cost = plan.cost + _compute_adapter_cost(
-        context, state, plan.victims, seconds
+    load_time = plan.drain_time + unload_time + state.estimate_load_time(model)
+    ready_at = costs.now + load_time
+    gain, reason = _compute_gain(
+        context, facts, state, model, ready_at, from_store
     )
+    seconds = load_time.total_seconds()
+    cost = plan.cost + costs.compute_adapter_cost(state, plan.victims, seconds)
     cost += seconds * TARGET_TIME_COST_PER_S * context.pressure
     if from_store:
-        cost += _compute_copy_eviction_cost(context, state, spec.size_mb)
+        cost += costs.compute_copy_eviction_cost(state, spec.size_mb)
         cost += costs.get_sole_copy_rate(state) * seconds
     if gain <= cost:
         return None
@@ -373,134 +472,133 @@
         model,
         plan.victims,
         ready_at,
-        (gain - cost) / max(0.05, seconds),
+        (gain - cost) / max(placement_index.MIN_LOAD_SECONDS, seconds),
         reason,
     )
 
 
-def _compute_adapter_cost(
+def _compute_sole_copy_rate(
     context: PlacementContext,
+    index: placement_index.PlacementIndex,
     state: target_state.TargetState,
-    victims: Iterable[ids.ModelName],
-    seconds: float,
-) -> float:
-    """Returns the cost of adapter requests that become late during a load.
-
-    A target cannot load adapters while it loads a model.
-    """
-    rate = sum(
-        context.adapter_request_rate(model)
-        for model in state.replicas
-        if model not in victims
-        and context.is_reserved_for_adapters(state.target, model)
-    )
-    return rate * seconds * ADAPTER_MISS_RATIO * (1.0 - LATE_REQUEST_VALUE)
-
-
-def _compute_sole_copy_rate(
-    context: PlacementContext, state: target_state.TargetState
 ) -> float:
     """Returns the request rate of models that only this target could load.
 
     These models are loaded nowhere and have no copy on another target, so they
     are unavailable while this target fetches a model from the weight store.
     """
-    loaded = {
-        model for other in context.target_states for model in other.replicas
-    }
     return sum(
         context.request_rate(model)
         for model in dict.fromkeys(
             state.copies.in_memory + state.copies.on_disk
         )
-        if model not in loaded
+        if not index.count_replicas(model)
         and not context.replicas_elsewhere(model)
         and not context.copies_elsewhere(model, state.target)
     )
 
 
-def _compute_copy_eviction_cost(
-    context: PlacementContext, state: target_state.TargetState, size_mb: float
-) -> float:
-    """Returns the value of the cached copies evicted from disk by a new one."""
+def _list_copy_eviction_steps(
+    context: PlacementContext, state: target_state.TargetState
+) -> list[tuple[float, float]]:
+    """Returns the free disk space in MB, then each copy in eviction order.
+
+    Each copy is its size in MB and its value; those of unconfigured models have
+    no size.
+    """
     engine = state.engine
     sizes = {
         model: engine.models[model].size_mb
         for model in state.copies.on_disk
         if model in engine.models
     }
-    missing_mb = size_mb - (engine.disk_cache_mb - sum(sizes.values()))
-    cost = 0.0
+    steps = [(engine.disk_cache_mb - sum(sizes.values()), 0.0)]
     for model in state.copies.on_disk:
-        if missing_mb <= 0:
-            break
-        missing_mb -= sizes.get(model, 0.0)
         ratio = _get_copy_value_ratio(
             context.copies_elsewhere(model, state.target)
         )
-        cost += context.request_rate(model) * COPY_DEMAND_HORIZON_S * ratio
-    return cost
+        value = context.request_rate(model) * COPY_DEMAND_HORIZON_S * ratio
+        steps.append((sizes.get(model, 0.0), value))
+    return steps
 
 
-def _compute_gain(
-    context: PlacementContext,
-    state: target_state.TargetState,
-    model: ids.ModelName,
-    ready_at: datetime.timedelta,
-    from_store: bool,
-) -> tuple[float, str]:
-    """Returns the value of a load, counted in requests, and its reason.
+def _collect_facts(
+    context: PlacementContext, model: ids.ModelName, is_loaded: bool
+) -> ModelFacts:
+    """Returns what the value of a load of a model depends on.
 
-    The reason is one of the values listed at `PlacementDecision.reason`. A
-    model is stranded if no target that has it can be sent an order soon, so
-    that no further adapter of it can be loaded.
+    A target of the zone has the model if `is_loaded` is true. The model is
+    stranded if no target that has it can be sent an order soon, so that no
+    further adapter of it can be loaded.
     """
     deadlines = context.soft_deadlines.get(model, ())
     stranded_rate = context.stranded_adapter_rate(model)
-    is_loaded = any(model in other.replicas for other in context.target_states)
     if is_loaded:
         # The requests wait for a free slot on a loaded replica, not for a load.
         deadlines = ()
-    gain = sum(
-        1.0 if deadline >= ready_at else LATE_REQUEST_VALUE
-        for deadline in deadlines
-    )
-    reason = "waiting" if deadlines else "spare"
     rate = context.request_rate(model)
     remote_replicas = context.replicas_elsewhere(model)
     is_hot = rate >= HOT_MODEL_RATE
-    if is_hot and not deadlines:
-        reason = "busy"
+    reason = "waiting" if deadlines else "busy" if is_hot else "spare"
+    values = []
     if stranded_rate:
-        gain += stranded_rate * ADAPTER_MISS_RATIO * DEMAND_HORIZON_S
+        values.append(stranded_rate * ADAPTER_MISS_RATIO * DEMAND_HORIZON_S)
         reason = reason if deadlines else "adapters"
+    is_worthless = False
     # A stranded replica, also one in this zone, still serves requests without
     # an adapter.
     if not remote_replicas and not (is_loaded and stranded_rate):
-        gain += rate * DEMAND_HORIZON_S
+        values.append(rate * DEMAND_HORIZON_S)
     elif is_hot and remote_replicas:
-        gain += ZONE_REPLICA_VALUE / remote_replicas
-        gain += (
+        values.append(ZONE_REPLICA_VALUE / remote_replicas)
+        values.append(
             rate
             * DEMAND_HORIZON_S
             * _estimate_late_ratio(context.min_utilization(model))
         )
     elif not deadlines and not stranded_rate:
-        return 0.0, reason
+        is_worthless = True
+    return ModelFacts(
+        deadlines,
+        tuple(values),
+        is_worthless,
+        reason,
+        rate * COPY_DEMAND_HORIZON_S,
+        max(1.0, context.unserved_duration(model) / STARVATION_DELAY),
+    )
+
+
+def _compute_gain(
+    context: PlacementContext,
+    facts: ModelFacts,
+    state: target_state.TargetState,
+    model: ids.ModelName,
+    ready_at: datetime.timedelta,
+    from_store: bool,
+) -> tuple[float, str]:
+    """Returns the value of a load, counted in requests, and its reason.
+
+    The reason is one of the values listed at `PlacementDecision.reason`.
+    """
+    gain = sum(
+        1.0 if deadline >= ready_at else LATE_REQUEST_VALUE
+        for deadline in facts.deadlines
+    )
+    for value in facts.base_values:
+        gain += value
+    reason = facts.reason
     if from_store:
         copy_count = context.copies_elsewhere(model, state.target)
         ratio = _get_copy_value_ratio(copy_count)
         if copy_count:
             # Redundant copies are fetched only when targets are idle.
             ratio *= max(0.0, 1.0 - context.pressure / MAX_IDLE_PRESSURE)
-        gain += rate * COPY_DEMAND_HORIZON_S * ratio
-        if ratio and not deadlines:
+        gain += facts.copy_value * ratio
+        if ratio and not facts.deadlines:
             reason = (
                 "refused" if model in context.models_without_copy else "copy"
             )
-    return gain * max(
-        1.0, context.unserved_duration(model) / STARVATION_DELAY
-    ), reason
+    return gain * facts.unserved_factor, reason
 
 
 def _get_copy_value_ratio(other_copies: int) -> float:
@@ -512,62 +610,13 @@
     )
 
 
-def _plan_eviction(
-    context: PlacementContext,
-    state: target_state.TargetState,
-    size_mb: float,
-    now: datetime.timedelta,
-) -> _EvictionPlan | None:
-    """Returns the cheapest way to free memory, None if there is none."""
-    missing_mb = size_mb - state.get_free_mb(now)
-    if missing_mb <= 0:
-        return _EvictionPlan((), 0.0, _ZERO)
-    candidates = [
-        model
-        for model, replica in state.replicas.items()
-        if replica.state is target_state.LoadState.READY
-        and now - replica.ready_at >= MIN_RESIDENCY
-        and model not in context.soft_deadlines
-    ]
-    plans = [
-        _make_eviction_plan(context, state, victims)
-        for count in range(1, MAX_VICTIMS + 1)
-        for victims in itertools.combinations(candidates, count)
-        if _compute_freed_mb(state, victims) >= missing_mb
-    ]
-    return min(
-        plans,
-        key=lambda plan: (
-            plan.cost + plan.drain_time.total_seconds(),
-            len(plan.victims),
-        ),
-        default=None,
-    )
-
-
-def _make_eviction_plan(
-    context: PlacementContext,
-    state: target_state.TargetState,
-    victims: Iterable[ids.ModelName],
-) -> _EvictionPlan:
-    cost = 0.0
-    drain_time = _ZERO
-    for model in victims:
-        cost += _compute_eviction_cost(context, model)
-        count = context.running_counts.count_for_model(state.target, model)
-        if count:
-            # The unload waits for the longest of the running requests.
-            drain_time = max(
-                drain_time, REMAINING_RUN_TIME * (1.0 + math.log(count))
-            )
-    return _EvictionPlan(tuple(victims), cost, drain_time)
-
-
 def _compute_eviction_cost(
-    context: PlacementContext, model: ids.ModelName
+    context: PlacementContext,
+    index: placement_index.PlacementIndex,
+    model: ids.ModelName,
 ) -> float:
     """Returns the cost of evicting a model from a target."""
-    cost = _compute_request_cost(context, model)
+    cost = _compute_request_cost(context, index, model)
     if context.orderable_replicas(model) <= 1:
         # No target would be left that can load adapters of the model.
         miss_rate = context.adapter_request_rate(model) * ADAPTER_MISS_RATIO
@@ -576,7 +625,9 @@
 
 
 def _compute_request_cost(
-    context: PlacementContext, model: ids.ModelName
+    context: PlacementContext,
+    index: placement_index.PlacementIndex,
+    model: ids.ModelName,
 ) -> float:
     """Returns the cost of requests that are late with one replica less.
 
@@ -584,9 +635,7 @@
     """
     rate = context.request_rate(model)
     expected_requests = rate * DEMAND_HORIZON_S
-    zone_replicas = (
-        sum(model in other.replicas for other in context.target_states) - 1
-    )
+    zone_replicas = index.count_replicas(model) - 1
     remote_replicas = context.replicas_elsewhere(model)
     if not zone_replicas and not remote_replicas:
         return expected_requests
@@ -619,24 +668,3 @@
         1.0,
         max(0.0, (utilization - HIGH_UTILIZATION) / (1.0 - HIGH_UTILIZATION)),
     )
-
-
-def _compute_freed_mb(
-    state: target_state.TargetState, victims: Iterable[ids.ModelName]
-) -> float:
-    """Returns the memory in MB that evicting models and their adapters frees.
-
-    A model that is missing from the configuration counts as the whole memory
-    of the target.
-    """
-    total = 0.0
-    for model in victims:
-        spec = state.engine.models.get(model)
-        if spec is None:
-            total += state.engine.memory_mb
-            continue
-        total += spec.size_mb
-        total += spec.adapter_mb * sum(
-            key[0] == model for key in state.adapters
-        )
-    return total
--- a/src/quetzalgauge/core/zone_leader.py
+++ b/src/quetzalgauge/core/zone_leader.py
@@ -600,7 +600,7 @@
             self._demand.count_running(),
             count_elsewhere,
             snapshot.count_other_copies,
-            snapshot.get_min_utilization,
+            functools.cache(snapshot.get_min_utilization),
             get_adapter_rate,
             functools.cache(snapshot.count_orderable_replicas),
             lambda model: (
@@ -619,6 +619,7 @@
             self._compute_store_load_budget(snapshot, now),
             self._compute_pressure(snapshot, now),
             self._compute_prefetch_offset(snapshot),
+            facts={},
         )
 
     def _compute_pressure(
