--- a/src/quetzalgauge/node/metrics.py
+++ b/src/quetzalgauge/node/metrics.py
@@ -20,6 +20,10 @@
     10.0,
     20.0,
 )
+# Ranges of events that keep the event loop from all other requests.
+EVENT_BUCKETS_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0)
+# Shorter events are not recorded, since each record costs time itself.
+MIN_RECORDED_EVENT = datetime.timedelta(milliseconds=5)
 
 
 class Metrics:
@@ -52,6 +56,12 @@
             buckets=FIRST_BYTE_BUCKETS_SECONDS,
             registry=registry,
         )
+        self._slow_events = prometheus_client.Histogram(
+            "quetzalgauge_slow_event_seconds",
+            "Time of events that kept the event loop busy for 5 ms or more.",
+            buckets=EVENT_BUCKETS_SECONDS,
+            registry=registry,
+        )
         self._orders = prometheus_client.Counter(
             "quetzalgauge_orders",
             "Load and unload orders to targets by outcome.",
@@ -113,6 +123,11 @@
         """Records the time from a request to the first byte of its response."""
         self._first_byte.observe(duration.total_seconds())
 
+    def observe_event(self, duration: datetime.timedelta) -> None:
+        """Records how long the event loop took for an event, if it was slow."""
+        if duration >= MIN_RECORDED_EVENT:
+            self._slow_events.observe(duration.total_seconds())
+
     def count_order(self, operation: str, outcome: str) -> None:
         """Counts a load or unload order by its outcome."""
         self._orders.labels(operation, outcome).inc()
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -287,8 +287,11 @@
         self._inbox.put(event)
 
     def _run_event_loop(self) -> None:
+        event_started_at: datetime.timedelta | None = None
         while True:
             now = self._now()
+            if event_started_at is not None:
+                self._metrics.observe_event(now - event_started_at)
             timeout = (self._next_wakeup_at(now) - now).total_seconds()
             try:
                 event = self._inbox.get(timeout=max(0.0, timeout))
@@ -298,8 +301,10 @@
                 return
             if isinstance(event, _DumpRequest):
                 event.response.put(self._node.dump(self._now()))
+                event_started_at = None
                 continue
-            self._handle_event(event, self._now())
+            event_started_at = self._now()
+            self._handle_event(event, event_started_at)
 
     def _next_wakeup_at(self, now: datetime.timedelta) -> datetime.timedelta:
         wakeup_at = min(self._node.next_wakeup_at, now + node.MAX_IDLE_INTERVAL)
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -305,6 +305,7 @@
     instance = cluster.instances[0]
     _, text = instance.get(instance.ports[3], "/metrics")
     assert b"quetzalgauge_first_part_seconds_bucket" in text
+    assert b"quetzalgauge_slow_event_seconds_bucket" in text
     assert instance.dump()["gateway"]["configuration"] == 3
 
 
