Read the registry less often where targets drain for longer

Cause: each instance read the registry once a second, whatever the time for which a draining target accepts requests.

Change: the platform's drain_ms is a setting now, and the registry is read twice within it, once in 2 s at most: as before on the sites (2 s), half as often on the large one (4 s).

--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -227,7 +227,9 @@
             ),
             (
                 registry.TOPIC,
-                topic_consumers.REGISTRY_INTERVAL,
+                topic_consumers.choose_registry_interval(
+                    self._settings.drain_time
+                ),
                 topic_consumers.make_registry_handler(
                     self._post_event, self._log, self._metrics
                 ),
--- a/src/quetzalgauge/node/settings.py
+++ b/src/quetzalgauge/node/settings.py
@@ -54,6 +54,7 @@
         retry_window: Length of the retry window.
         lease: Time within which orders to one target never come from two
             machines.
+        drain_time: Time for which a draining target still accepts requests.
         stop_time: Time from SIGTERM to SIGKILL.
     """
 
@@ -70,6 +71,7 @@
     retry_slack: float
     retry_window: datetime.timedelta
     lease: datetime.timedelta
+    drain_time: datetime.timedelta
     stop_time: datetime.timedelta
 
 
@@ -131,6 +133,9 @@
         reader.get(
             "lease_ms", _parse_milliseconds, datetime.timedelta(seconds=1)
         ),
+        reader.get(
+            "drain_ms", _parse_milliseconds, datetime.timedelta(seconds=1)
+        ),
         reader.get(
             "stop_time_s", _parse_seconds, datetime.timedelta(seconds=1)
         ),
--- a/src/quetzalgauge/node/topic_consumers.py
+++ b/src/quetzalgauge/node/topic_consumers.py
@@ -24,9 +24,11 @@
 # keep-alive probes detect a dead connection well before that.
 LONG_POLL_TIMEOUT = datetime.timedelta(seconds=25)
 # The target registry changes several times a second and every read is charged.
-# One read per second is enough, since a draining target accepts requests for at
-# least 2 s.
-REGISTRY_INTERVAL = datetime.timedelta(seconds=1)
+# Two reads within the time for which a draining target accepts requests are
+# enough.
+REGISTRY_READS_PER_DRAIN = 2
+# Targets that join or restart are learned of only from the registry.
+MAX_REGISTRY_INTERVAL = datetime.timedelta(seconds=2)
 # All targets may start together and then register one after the other, so the
 # registry is read more often at first.
 STARTUP_INTERVAL = datetime.timedelta(milliseconds=250)
@@ -194,6 +196,17 @@
             time.sleep(delay)
 
 
+def choose_registry_interval(
+    drain_time: datetime.timedelta,
+) -> datetime.timedelta:
+    """Returns the least time between the starts of two reads of the registry.
+
+    Args:
+        drain_time: Time for which a draining target still accepts requests.
+    """
+    return min(MAX_REGISTRY_INTERVAL, drain_time / REGISTRY_READS_PER_DRAIN)
+
+
 def make_configuration_handler(
     post_event: Callable[[node.Event], None],
     log: event_log.EventLog,
--- a/src/quetzalgauge/standins/local_cluster.py
+++ b/src/quetzalgauge/standins/local_cluster.py
@@ -196,6 +196,7 @@
         "retry_slack": 52,
         "retry_window_s": 10,
         "lease_ms": 3000,
+        "drain_ms": 2000,
         "stop_time_s": 8,
     }
 
--- a/tests/test_topic_consumers.py
+++ b/tests/test_topic_consumers.py
@@ -169,3 +169,15 @@
         assert batches.get(timeout=5).is_snapshot
         assert [events.get().offset, events.get().offset] == [0, 5]
         released.set()
+
+
+def test_registry_is_read_twice_while_a_target_drains():
+    """Guards against requests to a target whose drain time is over.
+
+    A large deployment gives targets more time, and each read is charged, so it
+    is read less often there.
+    """
+    for drain_seconds, interval_seconds in ((1, 0.5), (2, 1), (4, 2), (60, 2)):
+        assert topic_consumers.choose_registry_interval(
+            samples.seconds(drain_seconds)
+        ) == samples.seconds(interval_seconds)
