Refuse at once what has to wait too long for the weight store

Cause, from the same log: the store carries two loads of 11.7 s, and callers of rare models wait up to 16 s. Their requests were queued as if a load could start at once, and refused some 4 s later, when the time no longer sufficed ('too_late', expected 16.0 s, allowed 15.98 s): 69 of the 76 models that were never served.

Change: leaders publish how many loads the store carries. Instances know the loads in progress and when they end, so the estimate for a model that only the store has begins when another load can start. The field of the message is optional.

Result: the new test needs the new field.

--- a/idl/exchange.thrift
+++ b/idl/exchange.thrift
@@ -70,6 +70,8 @@
   8: list<TargetView> targets,
   9: list<string> gone,
   10: optional map<string, i64> offsets,
+  // Loads that the weight store carries at full speed; absent if unknown.
+  11: optional i32 store_capacity,
 }
 
 // Exactly one of the two is set.
--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -38,6 +38,7 @@
     leader_active_from: datetime.timedelta | None
     backlog: int
     instance_count: int
+    store_capacity: int | None = None
     targets: dict[ids.TargetId, "_ReceivedTargetState"] = dataclasses.field(
         default_factory=dict
     )
@@ -104,6 +105,10 @@
         self._models_by_target: dict[ids.TargetId, set[ids.ModelName]] = {}
         self._model_index_revision = -1
         self._disk_copies: dict[ids.ModelName, frozenset[ids.TargetId]] = {}
+        # The time of the last estimate, and the estimate.
+        self._store_start: (
+            tuple[datetime.timedelta, datetime.timedelta] | None
+        ) = None
         self._disk_copies_revision = -1
 
     def count_request(
@@ -200,6 +205,7 @@
             state.leader_active_from = now + update.time_until_active
         state.backlog = update.backlog
         state.instance_count = update.instance_count
+        state.store_capacity = update.store_capacity
         for view in update.targets:
             state.targets[view.target] = _ReceivedTargetState(
                 view.incarnation,
@@ -526,8 +532,9 @@
         """Returns when each zone could have a model loaded, earliest first.
 
         The estimate adds the time to load the zone's backlog of models from
-        disk, divided by the number of its targets. Of zones with the same time,
-        the own one comes first.
+        disk, divided by the number of its targets. A load from the weight store
+        starts when the store can carry another one at full speed. Of zones with
+        the same time, the own one comes first.
         """
         earliest: dict[ids.AvailabilityZone, datetime.timedelta] = {}
         target_counts: dict[ids.AvailabilityZone, int] = {}
@@ -537,9 +544,10 @@
             order_at = self.get_next_order_at(entry, now)
             if order_at is None:
                 continue
-            ready_at = max(now, order_at) + estimate_load_time(
-                model, entry.copies
-            )
+            start_at = max(now, order_at)
+            if not has_copy(model.name, entry.copies):
+                start_at = max(start_at, self.estimate_store_start(now))
+            ready_at = start_at + estimate_load_time(model, entry.copies)
             if zone not in earliest or ready_at < earliest[zone]:
                 earliest[zone] = ready_at
         estimates = []
@@ -558,6 +566,33 @@
         )
         return estimates
 
+    def estimate_store_start(
+        self, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Returns when a load from the weight store can start at full speed."""
+        if self._store_start is not None and self._store_start[0] == now:
+            return self._store_start[1]
+        ends = []
+        for entry in self.directory:
+            model = self.get_fetching_model(entry, now)
+            received = self._get_received_state(entry.target)
+            if model is not None and received is not None:
+                ends.append(max(now, received.ready_at.get(model, now)))
+        ends.sort()
+        capacity = min(
+            (
+                zone_state.store_capacity
+                for zone_state in self._zones.values()
+                if zone_state.store_capacity is not None
+            ),
+            default=len(ends) + 1,
+        )
+        start_at = now
+        if len(ends) >= capacity:
+            start_at = ends[len(ends) - capacity]
+        self._store_start = (now, start_at)
+        return start_at
+
     def record_not_loaded(
         self,
         target: ids.TargetId,
@@ -617,6 +652,11 @@
         )
 
 
+def has_copy(model: ids.ModelName, copies: targets.CachedCopies) -> bool:
+    """Returns whether a model need not be loaded from the weight store."""
+    return model in copies.in_memory or model in copies.on_disk
+
+
 def estimate_load_time(
     model: configuration.Model, copies: targets.CachedCopies
 ) -> datetime.timedelta:
--- a/src/quetzalgauge/core/peer_messages.py
+++ b/src/quetzalgauge/core/peer_messages.py
@@ -145,6 +145,8 @@
             included.
         targets: Targets whose state has changed since the last message.
         removed: Targets that the leader has stopped managing.
+        store_capacity: Estimated number of concurrent loads from the weight
+            store at full speed, None if unknown.
         offsets: How far the sender has read each topic of the store.
     """
 
@@ -157,6 +159,7 @@
     instance_count: int
     targets: tuple[TargetView, ...]
     removed: tuple[ids.TargetId, ...] = ()
+    store_capacity: int | None = None
     offsets: tuple[tuple[ids.TopicName, int], ...] = ()
 
 
--- a/src/quetzalgauge/core/zone_leader.py
+++ b/src/quetzalgauge/core/zone_leader.py
@@ -809,6 +809,7 @@
                 for target, revision in self._removed.items()
                 if revision > known_revision
             ),
+            max(1, round(self._weight_store.get_capacity(now))),
         )
 
     def _make_target_view(
--- a/src/quetzalgauge/gen/exchange/ttypes.py
+++ b/src/quetzalgauge/gen/exchange/ttypes.py
@@ -876,6 +876,7 @@
      - targets
      - gone
      - offsets
+     - store_capacity
 
     """
 
@@ -890,10 +891,11 @@
         'targets',
         'gone',
         'offsets',
+        'store_capacity',
     )
 
 
-    def __init__(self, availability_zone=None, holder=None, token=None, complete=None, orders_in=None, backlog=None, instances=None, targets=None, gone=None, offsets=None,):
+    def __init__(self, availability_zone=None, holder=None, token=None, complete=None, orders_in=None, backlog=None, instances=None, targets=None, gone=None, offsets=None, store_capacity=None,):
         self.availability_zone = availability_zone
         self.holder = holder
         self.token = token
@@ -904,6 +906,7 @@
         self.targets = targets
         self.gone = gone
         self.offsets = offsets
+        self.store_capacity = store_capacity
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -981,6 +984,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.store_capacity = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1041,6 +1049,10 @@
                 oprot.writeI64(viter91)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.store_capacity is not None:
+            oprot.writeFieldBegin('store_capacity', TType.I32, 11)
+            oprot.writeI32(self.store_capacity)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1218,6 +1230,7 @@
     (8, TType.LIST, 'targets', (TType.STRUCT, [TargetView, None], False), None, ),  # 8
     (9, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.MAP, 'offsets', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 10
+    (11, TType.I32, 'store_capacity', None, None, ),  # 11
 )
 all_structs.append(Message)
 Message.thrift_spec = (
--- a/src/quetzalgauge/node/codec.py
+++ b/src/quetzalgauge/node/codec.py
@@ -163,6 +163,7 @@
         [_encode_target_view(view) for view in update.targets],
         list(update.removed),
         dict(update.offsets),
+        update.store_capacity,
     )
 
 
@@ -204,6 +205,7 @@
         wire.instances,
         tuple(_decode_target_view(view) for view in wire.targets),
         tuple(ids.TargetId(target) for target in wire.gone),
+        wire.store_capacity,
         _decode_offsets(wire.offsets),
     )
 
--- a/tests/core_samples.py
+++ b/tests/core_samples.py
@@ -204,7 +204,12 @@
         return self.gateway.handle_fleet_change(self.now)
 
     def publish_update(
-        self, *views, seconds_until_active=0.0, backlog=0, is_snapshot=False
+        self,
+        *views,
+        seconds_until_active=0.0,
+        backlog=0,
+        is_snapshot=False,
+        store_capacity=None,
     ):
         self.fleet.apply_zone_update(
             peer_messages.ZoneUpdate(
@@ -218,6 +223,7 @@
                 backlog,
                 1,
                 tuple(views),
+                store_capacity=store_capacity,
             ),
             self.now,
         )
--- a/tests/test_core_gateway.py
+++ b/tests/test_core_gateway.py
@@ -483,6 +483,34 @@
     )
 
 
+@pytest.mark.parametrize("seconds_left", [2, 5])
+def test_a_model_behind_a_busy_weight_store_is_refused_in_time(seconds_left):
+    """Guards against requests that wait in vain for the weight store.
+
+    Many rare models are only in the store, which carries two loads at full
+    speed and has two for some time. Callers of this route wait 10 s for a load
+    of 6 s, so only the shorter of the two waits leaves enough.
+    """
+    harness = make_engine_harness()
+    views = [
+        dataclasses.replace(
+            samples.make_target_view(
+                name, ["m0"], [(model, seconds_left)], running=1
+            ),
+            fetching_model=model,
+        )
+        for name, model in (("e1", "m2"), ("e2", "m3"))
+    ]
+    harness.publish_update(*views, store_capacity=2)
+    actions = harness.submit("/rare/1", model="m4")
+    if seconds_left == 2:
+        assert actions == []
+        return
+    (refusal,) = actions
+    assert (refusal.status, refusal.may_have_run) == (503, False)
+    assert refusal.retry_after >= samples.seconds(seconds_left + 6)
+
+
 def test_a_draining_process_refuses_streams_that_cannot_finish():
     """Guards against streams that are interrupted when the process ends.
 
