--- a/src/quetzalgauge/node/topic_consumers.py
+++ b/src/quetzalgauge/node/topic_consumers.py
@@ -64,15 +64,16 @@
         self._topic = topic
         self._client = client
         self._needs_snapshot = threading.Event()
+        self._renewed_offset: int | None = None
         self.offset: int | None = None
         self.started_at: datetime.timedelta | None = None
 
     def read(self) -> tuple[list[store.KeyedRecord], bool]:
         """Returns new records, and whether they are a snapshot."""
-        if self._needs_snapshot.is_set():
+        if self.offset is None or self._needs_snapshot.is_set():
+            # A slow store may answer long polls only, so a snapshot is tried
+            # once, and the offset is kept until there is one.
             self._needs_snapshot.clear()
-            self.offset = None
-        if self.offset is None:
             items, self.offset = self._client.read_newest(self._topic)
             return items, True
         items, self.offset = self._client.read(
@@ -85,8 +86,13 @@
         self._client.interrupt()
 
     def renew(self) -> None:
-        """Makes the next read a snapshot, and interrupts the current one."""
-        self._needs_snapshot.set()
+        """Restarts the current read, with a snapshot if that did not help.
+
+        That is the case if no record was read since the last renewal.
+        """
+        if self.offset == self._renewed_offset:
+            self._needs_snapshot.set()
+        self._renewed_offset = self.offset
         self._client.interrupt()
 
     def close(self) -> None:
@@ -119,7 +125,7 @@
                 reader.interrupt()
 
     def renew(self, topic: str) -> None:
-        """Restarts the read of a topic with a snapshot."""
+        """Restarts the read of a topic, see `_TopicReader.renew`."""
         reader = self._readers.get(topic)
         if reader is not None:
             reader.renew()
