--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Runs the case; TROUBLE=0 runs it without the disruption. Writes record.txt.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps exec python3 review/5/case.py
