End requests whose callers left before they were read

The worker set the watcher of the connection before it posted the arrival. A close that came first was reported for a request that the gateway did not know, was ignored, and is reported only once. The watcher is now set after the arrival, and an arrival says whether the connection is closed already.

--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -459,6 +459,9 @@
         # A caller may resume a stream that was interrupted.
         request.last_event_id = head.last_event_id
         self._requests[event.local_id] = request
+        if event.caller_disconnected:
+            request.caller_disconnected = True
+            return self._abort(request, "caller_gone", now)
         if len(self._requests) > self._limits.max_in_progress:
             return self._refuse(request, "too_many", DEFAULT_RETRY_AFTER, now)
         if (
--- a/src/quetzalgauge/core/requests.py
+++ b/src/quetzalgauge/core/requests.py
@@ -73,10 +73,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestArrived:
-    """A request was read; `local_id` is unique among those in progress."""
+    """A request was read; `local_id` is unique among those in progress.
+
+    Attributes:
+        local_id: The request.
+        head: What the core uses of it.
+        caller_disconnected: Whether the caller had closed its connection
+            before the request was read.
+    """
 
     local_id: int
     head: Head
+    caller_disconnected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/quetzalgauge/node/disconnect_watcher.py
+++ b/src/quetzalgauge/node/disconnect_watcher.py
@@ -8,6 +8,16 @@
 _DISCONNECT_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
+def has_disconnected(sock: socket.socket) -> bool:
+    """Returns whether a caller has closed its connection already."""
+    poller = select.poll()
+    try:
+        poller.register(sock, select.POLLRDHUP)
+        return bool(poller.poll(0))
+    except (OSError, ValueError):
+        return True
+
+
 class DisconnectWatcher:
     """Watches the connections of requests in progress.
 
@@ -22,10 +32,13 @@
         self._local_ids: dict[int, int] = {}
 
     def add(self, sock: socket.socket, local_id: int) -> None:
-        """Starts watching the socket of a caller."""
+        """Starts watching the socket of a caller, which may be closed already.
+
+        Call this after the arrival of the request was posted: a disconnect is
+        reported once, and nobody knows the request before.
+        """
         fd = sock.fileno()
         self._local_ids[fd] = local_id
-        # The socket may be closed already.
         with contextlib.suppress(OSError, ValueError):
             self._epoll.register(fd, _DISCONNECT_EVENTS | select.EPOLLONESHOT)
 
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -476,10 +476,14 @@
         active_request = ActiveRequest(next(local_ids))
         context.active_requests[active_request.local_id] = active_request
         sock: socket.socket = request.conn.socket
-        context.watcher.add(sock, active_request.local_id)
         context.post_event(
-            requests.RequestArrived(active_request.local_id, head)
+            requests.RequestArrived(
+                active_request.local_id,
+                head,
+                disconnect_watcher.has_disconnected(sock),
+            )
         )
+        context.watcher.add(sock, active_request.local_id)
         try:
             _Worker(
                 request,
