Serve callers that have only ended their sending half

A caller that shut down its sending half, and waited for the response, got nothing: its connection was closed, within streams too. The watcher took the end of the sending half for a close, since both look the same until something is sent. Such a caller is now sent an interim response, which it ignores and which resets a closed connection.

test_caller_that_ends_its_sending_half_gets_its_response failed before for seven of its eight cases.

--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -12,7 +12,9 @@
 import itertools
 import json
 import queue
+import select
 import socket
+import threading
 
 from quetzalgauge import clock
 from quetzalgauge import exceptions
@@ -26,6 +28,10 @@
 from quetzalgauge.node import upstream
 from quetzalgauge.platform import headers as wire_headers
 
+# An interim response, which callers ignore. It shows whether a caller that has
+# ended its sending half has closed the connection.
+_INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
 
 class ActiveRequest:
     """The state of a request that its worker shares with the event loop."""
@@ -85,8 +91,33 @@
         self._request = request
         self._context = context
         self._chunked = False
+        # Held while something is written, also by `probe`.
+        self._lock = threading.Lock()
         self.is_started = False
 
+    def probe(self) -> bool:
+        """Sends an interim response unless the response has begun.
+
+        Any thread may call this. It does not block.
+
+        Returns:
+            False if the caller cannot be sent one. What was written of the
+            response before has the same effect as a probe.
+        """
+        if self._request.request_protocol != b"HTTP/1.1":
+            return False
+        if not self._lock.acquire(blocking=False):
+            return True
+        try:
+            if self.is_started or not _is_writable(self._request.conn.socket):
+                return True
+            sent = self._request.conn.socket.send(_INTERIM_RESPONSE)
+            return bool(sent == len(_INTERIM_RESPONSE))
+        except (OSError, ValueError):
+            return False
+        finally:
+            self._lock.release()
+
     def write_response(
         self,
         status: int,
@@ -154,18 +185,25 @@
         if sock.gettimeout() != listener.WRITE_TIMEOUT_SECONDS:
             sock.settimeout(listener.WRITE_TIMEOUT_SECONDS)
         try:
-            sock.sendall(data)
+            with self._lock:
+                sock.sendall(data)
         except OSError as error:
             self.abort()
             raise _CallerDisconnectedError(str(error)) from error
 
 
+def _is_writable(sock: socket.socket) -> bool:
+    poller = select.poll()
+    poller.register(sock, select.POLLOUT)
+    return bool(poller.poll(0))
+
+
 class _Worker:
     """Serves one request by executing the actions for it."""
 
     def __init__(
         self,
-        request: listener.Request,
+        writer: _ResponseWriter,
         outgoing: upstream.OutgoingRequest,
         active_request: ActiveRequest,
         context: WorkerContext,
@@ -175,7 +213,7 @@
         self._outgoing = outgoing
         self._active_request = active_request
         self._context = context
-        self._writer = _ResponseWriter(request, context)
+        self._writer = writer
         self._event_filter = streams.EventFilter(
             has_end_marker=False, extra_fields=wire_headers.EVENT_FIELDS
         )
@@ -476,17 +514,18 @@
         active_request = ActiveRequest(next(local_ids))
         context.active_requests[active_request.local_id] = active_request
         sock: socket.socket = request.conn.socket
+        writer = _ResponseWriter(request, context)
         context.post_event(
             requests.RequestArrived(
                 active_request.local_id,
                 head,
-                disconnect_watcher.has_disconnected(sock),
+                disconnect_watcher.has_disconnected(sock, writer.probe),
             )
         )
-        context.watcher.add(sock, active_request.local_id)
+        context.watcher.add(sock, active_request.local_id, writer.probe)
         try:
             _Worker(
-                request,
+                writer,
                 outgoing_request,
                 active_request,
                 context,
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -139,3 +139,51 @@
     assert late == set()
     if moment in ("in-head", "in-body"):
         assert arrivals.keys().isdisjoint(closes)
+
+
+def ask_with_closed_sending_half(address, path, request_id, delay):
+    """Returns everything that a caller receives that sends nothing more."""
+    received = b""
+    with socket.create_connection(address, timeout=5) as sock:
+        sock.sendall(make_head(request_id, path) + b"xx")
+        time.sleep(delay)
+        sock.shutdown(socket.SHUT_WR)
+        while data := sock.recv(65536):
+            received += data
+    return received
+
+
+@pytest.mark.parametrize("load", COUNTS)
+@pytest.mark.parametrize("path", ["ask", "once", "tell", "show"])
+def test_caller_that_ends_its_sending_half_gets_its_response(
+    services, arrivals, path, load
+):
+    """Guards against a request that ends since its caller sends nothing more.
+
+    The caller still waits for the response: before it was read, before the
+    response and within a stream.
+    """
+    kind = "stream" if path in ("tell", "show") else "plain"
+    with futures.ThreadPoolExecutor(COUNTS[load]) as executor:
+        responses = [
+            executor.submit(
+                ask_with_closed_sending_half,
+                services[0].address,
+                f"/{path}/desk/1",
+                f"{speed}-{path}-{load}-{number}-{kind}",
+                delay,
+            )
+            for number, (speed, delay) in zip(
+                range(COUNTS[load]),
+                [("quick", 0.0), ("slow", 0.0), ("slow", 0.1), ("slow", 0.4)]
+                * COUNTS[load],
+                strict=False,
+            )
+        ]
+    ends = (b"\r\n\r\nok", b"0\r\n\r\n")
+    for response in responses:
+        received = response.result()
+        while received.startswith(b"HTTP/1.1 100 "):
+            received = received.partition(b"\r\n\r\n")[2]
+        assert received.startswith(b"HTTP/1.1 200 "), received
+        assert received.endswith(ends), received
--- a/tests/test_thread_failures.py
+++ b/tests/test_thread_failures.py
@@ -227,5 +227,5 @@
     watcher = disconnect_watcher.DisconnectWatcher(lambda _: None)
     sock = socket.socket()
     sock.close()
-    watcher.add(sock, 1)
+    watcher.add(sock, 1, lambda: True)
     watcher.remove(sock)
