Leave a silent target only if another attempt can begin at once

Callers got 502 or a broken stream since their target had been silent for a moment, although it was about to respond and no retry was left.

An attempt that could be retried ended at a short timeout, and only then the gateway looked for a target and a retry. Now the timeout marks the target as silent, and the attempt goes on until the gateway has reserved a place and a retry for the next one.

Hung targets are left as before. The margin for heads that trickle is gone, as the gateway alone decides now; its test expects the cancellation 50 ms earlier.

--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -59,9 +59,6 @@
 BUSY_TOLERANCE = datetime.timedelta(milliseconds=30)
 # Interval of the checks of all requests that run without any event.
 REQUEST_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
-# Time beyond the first-byte deadline after which an attempt without the head
-# of a response is canceled, although bytes of the head keep arriving.
-HEAD_TIMEOUT_MARGIN = datetime.timedelta(milliseconds=50)
 # A target ended if the registry shows so within this time after the connection
 # of a request to it was lost.
 TARGET_END_TIMEOUT = datetime.timedelta(seconds=8)
@@ -119,7 +116,12 @@
     not_before: datetime.timedelta = _ZERO
     adapter_deadline: datetime.timedelta = _ZERO
     sent_at: datetime.timedelta = _ZERO
-    head_deadline: datetime.timedelta = datetime.timedelta.max
+    # When its target counts as silent, if no part of the response arrives.
+    silent_from: datetime.timedelta = datetime.timedelta.max
+    was_silent: bool = False
+    # The target that holds a place and a retry token for the next attempt.
+    retry_target: targets.Description | None = None
+    has_retry_token: bool = False
     send_count: int = 0
     response_started: bool = False
     has_response_data: bool = False
@@ -581,7 +583,10 @@
         return self._assign(request, target, now)
 
     def _find_target(
-        self, request: _Request, now: datetime.timedelta
+        self,
+        request: _Request,
+        now: datetime.timedelta,
+        excluded: ids.TargetId | None = None,
     ) -> targets.Description | None:
         _, model = request.queue_key
         fleet = self._fleet
@@ -589,6 +594,7 @@
             candidate
             for candidate in self._find_serving_targets(request, now)
             if candidate.target not in request.may_have_run_on
+            and candidate.target != excluded
             and not fleet.is_full(candidate.target, now)
             and fleet.estimate_load(candidate.target)
             < self._compute_request_limit(candidate, model)
@@ -743,12 +749,15 @@
             return self._end_unserved(
                 request, "stopping", now, DRAINING_RETRY_AFTER
             )
-        if request.has_reached_target and not self._get_retry_budget(
-            request.queue_key[0]
-        ).try_spend(now):
-            return self._end_unserved(request, "retry_budget", now)
         if request.send_count >= MAX_SENDS_PER_REQUEST:
             return self._end_unserved(request, "too_many_tries", now)
+        if (
+            request.has_reached_target
+            and not request.has_retry_token
+            and not self._get_retry_budget(request.queue_key[0]).try_spend(now)
+        ):
+            return self._end_unserved(request, "retry_budget", now)
+        request.has_retry_token = False
         request.send_count += 1
         request.phase = _Phase.SENT
         request.sent_at = now
@@ -764,7 +773,8 @@
             now,
             request.deadline,
         )
-        request.head_deadline = first_byte_deadline + HEAD_TIMEOUT_MARGIN
+        request.silent_from = first_byte_deadline
+        request.was_silent = False
         self._log_send(request, target, now)
         if request.trial_parts:
             self._log_trial(request, target)
@@ -775,7 +785,8 @@
                 target.address,
                 request.deadline,
                 first_byte_deadline,
-                timeouts.idle_timeout(route, can_retry),
+                timeouts.silence_timeout(route, can_retry),
+                timeouts.caller_idle_timeout(route),
                 not route.is_retryable,
                 route.kind is configuration.RouteKind.STREAM,
                 request.last_event_id,
@@ -1004,6 +1015,7 @@
         """
         if request.phase is _Phase.SENT:
             self._release_target(request)
+        self._release_retry(request)
         self._queues.remove(request.queue_key, request.queue_entry)
         self._demand_reporter.remove_adapter_demand(request.local_id)
         self._held.pop(request.local_id, None)
@@ -1028,6 +1040,98 @@
         )
         request.phase = _Phase.QUEUED
 
+    def _handle_stall(
+        self, event: requests.AttemptStalled, now: datetime.timedelta
+    ) -> list[requests.Action]:
+        request = self._requests.get(event.local_id)
+        if request is None or request.phase is not _Phase.SENT:
+            return []
+        self._release_retry(request)
+        if request.response_started or event.last_event_id:
+            request.last_event_id = event.last_event_id
+        request.silent_from = now
+        return self._check_silence(request, now)
+
+    def _handle_resumption(
+        self, event: requests.AttemptResumed, now: datetime.timedelta
+    ) -> list[requests.Action]:
+        request = self._requests.get(event.local_id)
+        if request is None or request.phase is not _Phase.SENT:
+            return []
+        self._record_progress(request)
+        return self._dispatch_next(request, now)
+
+    def _record_progress(self, request: _Request) -> None:
+        request.silent_from = datetime.timedelta.max
+        request.was_silent = False
+        self._release_retry(request)
+
+    def _check_silence(
+        self, request: _Request, now: datetime.timedelta
+    ) -> list[requests.Action]:
+        """Leaves a silent target if another attempt can begin at once.
+
+        Otherwise the attempt goes on, since a response that comes late is
+        better than none. What the next attempt needs is reserved for it.
+        """
+        if now < request.silent_from or request.cancelled:
+            return []
+        current = request.target
+        assert current is not None
+        if not self._can_retry_elsewhere(request, current, now):
+            return []
+        if not request.was_silent:
+            request.was_silent = True
+            self._fleet.health.record_failure(current.target, now, eject=True)
+        if (
+            request.send_count >= MAX_SENDS_PER_REQUEST
+            or now >= request.deadline - timeouts.RESPONSE_MARGIN
+            or (request.response_started and not request.last_event_id)
+            or not self._can_finish_before_stop(request, now)
+            or not self._are_parts_clear(request, now)
+        ):
+            return []
+        target = self._find_target(request, now, excluded=current.target)
+        budget = self._get_retry_budget(request.queue_key[0])
+        if target is None or not budget.try_spend(now):
+            return []
+        request.silent_from = datetime.timedelta.max
+        request.has_retry_token = True
+        request.retry_target = target
+        self._count_retry(request, 1)
+        return [
+            requests.CancelAttempt(
+                request.local_id,
+                requests.Failure.IDLE_TIMEOUT,
+                only_if_silent=True,
+            )
+        ]
+
+    def _are_parts_clear(
+        self, request: _Request, now: datetime.timedelta
+    ) -> bool:
+        return not request.head.prompt_parts or (
+            self._assess(request, now).status is prompt_quarantine.Status.CLEAR
+        )
+
+    def _count_retry(self, request: _Request, delta: int) -> None:
+        assert request.retry_target is not None
+        self._fleet.count_request(
+            request.retry_target.target,
+            request.head.model,
+            request.head.adapter,
+            delta,
+        )
+
+    def _release_retry(self, request: _Request) -> None:
+        """Gives back what was reserved for an attempt that is not made."""
+        if request.retry_target is not None:
+            self._count_retry(request, -1)
+            request.retry_target = None
+        if request.has_retry_token:
+            request.has_retry_token = False
+            self._get_retry_budget(request.queue_key[0]).refund()
+
     def _handle_response_start(
         self, event: requests.ResponseStarted, now: datetime.timedelta
     ) -> list[requests.Action]:
@@ -1035,6 +1139,8 @@
         if request is None or request.phase is not _Phase.SENT:
             return []
         assert request.target is not None
+        if event.has_data:
+            self._record_progress(request)
         if not request.response_started:
             request.response_started = True
             request.first_byte_at = now
@@ -1054,6 +1160,10 @@
         if request.phase is not _Phase.SENT or target is None:
             return []
         self._release_target(request)
+        if request.retry_target is not None:
+            # The next attempt takes the place itself.
+            self._count_retry(request, -1)
+            request.retry_target = None
         request.longest_gap = max(request.longest_gap, event.longest_gap)
         if event.failure is None:
             return self._handle_success(request, target, event, now)
@@ -1131,6 +1241,8 @@
             if not (
                 event.connection_reused
                 and failure is requests.Failure.CONNECTION_LOST
+            ) and not (
+                request.was_silent and failure is requests.Failure.IDLE_TIMEOUT
             ):
                 fleet.health.record_failure(target.target, now, eject=True)
         elif failure in _NON_EJECTING_FAILURES:
@@ -1247,15 +1359,8 @@
                             request.local_id, requests.Failure.DEADLINE_EXCEEDED
                         )
                     )
-                elif now >= request.head_deadline and not request.cancelled:
-                    request.head_deadline = datetime.timedelta.max
-                    actions.append(
-                        requests.CancelAttempt(
-                            request.local_id,
-                            requests.Failure.IDLE_TIMEOUT,
-                            only_before_head=True,
-                        )
-                    )
+                else:
+                    actions += self._check_silence(request, now)
             elif request.phase is _Phase.QUEUED:
                 actions += self._refuse_if_unservable(request, now) or []
         for key in self._queues.nonempty_keys():
@@ -1726,6 +1831,8 @@
 _HANDLERS: dict[type, Callable[..., list[requests.Action]]] = {
     requests.RequestArrived: Gateway._handle_arrival,
     requests.ResponseStarted: Gateway._handle_response_start,
+    requests.AttemptStalled: Gateway._handle_stall,
+    requests.AttemptResumed: Gateway._handle_resumption,
     requests.AttemptEnded: Gateway._handle_attempt_end,
     requests.CallerDisconnected: Gateway._handle_caller_disconnect,
     requests.RequestEnded: Gateway._handle_request_end,
--- a/src/quetzalgauge/core/requests.py
+++ b/src/quetzalgauge/core/requests.py
@@ -50,7 +50,7 @@
     FULL = "full"  # The target reports that it did not run the request.
     NOT_LOADED = "not_loaded"  # The target lacks the model or adapter.
     WRONG_TARGET = "other_target"  # Another target has the address.
-    IDLE_TIMEOUT = "silent"  # Sent; no data arrived within the timeout.
+    IDLE_TIMEOUT = "silent"  # Sent; left since no data arrived for some time.
     CONNECTION_LOST = "cut"  # Sent; connection ended before the whole response.
     WRONG_REQUEST_ID = "mismatch"  # The response belongs to another request.
     MALFORMED_RESPONSE = "malformed"  # The response violates the protocol.
@@ -101,6 +101,26 @@
     has_data: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptStalled:
+    """No event has arrived for the silence timeout; the attempt goes on.
+
+    Attributes:
+        local_id: The request.
+        last_event_id: As for `AttemptEnded`.
+    """
+
+    local_id: int
+    last_event_id: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptResumed:
+    """An event has arrived after `AttemptStalled`."""
+
+    local_id: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """An attempt received the whole response or failed.
@@ -156,6 +176,8 @@
 Event: TypeAlias = (
     RequestArrived
     | ResponseStarted
+    | AttemptStalled
+    | AttemptResumed
     | AttemptEnded
     | CallerDisconnected
     | RequestEnded
@@ -171,8 +193,10 @@
         target: The target.
         address: IP-ADDRESS:PORT of the target.
         deadline: Time by which the whole response is due, on the core's clock.
-        first_byte_deadline: Time by which the first byte of the response is
-            due; the attempt fails with `IDLE_TIMEOUT` after it.
+        first_byte_deadline: Time by which the first event of the response is
+            due; `AttemptStalled` is posted after it.
+        silence_timeout: Time without an event after which `AttemptStalled` is
+            posted.
         idle_timeout: Longest time between parts of the response; the attempt
             fails with `IDLE_TIMEOUT` after it.
         needs_new_connection: Whether the connection must never have been used
@@ -188,6 +212,7 @@
     address: str
     deadline: datetime.timedelta
     first_byte_deadline: datetime.timedelta
+    silence_timeout: datetime.timedelta
     idle_timeout: datetime.timedelta
     needs_new_connection: bool
     is_stream: bool
@@ -238,12 +263,13 @@
     Attributes:
         local_id: The request.
         failure: The failure.
-        only_before_head: Do nothing once the head of a response was received.
+        only_if_silent: Do nothing if the head of a response was received and
+            no `AttemptStalled` has been posted since the last event.
     """
 
     local_id: int
     failure: Failure
-    only_before_head: bool = False
+    only_if_silent: bool = False
 
 
 Action: TypeAlias = Send | Relay | Refuse | Abort | CancelAttempt
--- a/src/quetzalgauge/core/retry_budget.py
+++ b/src/quetzalgauge/core/retry_budget.py
@@ -60,5 +60,9 @@
         self._tokens -= 1.0
         return True
 
+    def refund(self) -> None:
+        """Returns a token that was spent on a retry that did not happen."""
+        self._tokens = min(self._capacity(), self._tokens + 1.0)
+
     def _capacity(self) -> float:
         return max(1.0, self._slack / 2 / self._instance_count)
--- a/src/quetzalgauge/core/timeouts.py
+++ b/src/quetzalgauge/core/timeouts.py
@@ -15,20 +15,20 @@
 # Time before the deadline at which a refusal is sent, so that it reaches the
 # caller before the caller closes the connection.
 RESPONSE_MARGIN = datetime.timedelta(milliseconds=30)
-# Lower bounds of the first-byte timeout of an attempt that can be retried on
-# another target.
+# Lower bounds of the time after which an attempt that can be retried on another
+# target is silent.
 MIN_FIRST_BYTE_TIMEOUT = datetime.timedelta(milliseconds=150)
 # Streams take longer because engines process the prompts of a burst one after
 # the other.
 MIN_STREAM_FIRST_BYTE_TIMEOUT = datetime.timedelta(milliseconds=900)
-# Share of the remaining time that an attempt may wait for the first byte, so
+# Share of the remaining time after which an attempt is silent at the latest, so
 # that another attempt fits in before the deadline.
 ATTEMPT_TIME_SHARE = 0.5
 # First-byte timeout in multiples of the target's mean time to the first byte.
 LATENCY_MULTIPLE = 8
-# Lower bound of the idle timeout of a stream that can be retried.
-MIN_IDLE_TIMEOUT = datetime.timedelta(milliseconds=600)
-# Idle timeout in multiples of the route's longest gap between events.
+# Lower bound of the silence timeout of a stream that can be retried.
+MIN_SILENCE_TIMEOUT = datetime.timedelta(milliseconds=600)
+# Silence timeout in multiples of the route's longest gap between events.
 GAP_MULTIPLE = 4
 
 
@@ -72,7 +72,7 @@
     now: datetime.timedelta,
     deadline: datetime.timedelta,
 ) -> datetime.timedelta:
-    """Returns the time by which an attempt must deliver its first byte.
+    """Returns the time after which an attempt without a response is silent.
 
     An attempt that cannot be retried may take until the deadline.
     """
@@ -88,10 +88,10 @@
     return now + min(timeout, (deadline - now) * ATTEMPT_TIME_SHARE)
 
 
-def idle_timeout(
+def silence_timeout(
     route: configuration.Route, can_retry: bool
 ) -> datetime.timedelta:
-    """Returns the time without an event after which an attempt has failed."""
+    """Returns the time without an event after which a target is silent."""
     if not can_retry or route.max_gap is None:
         return caller_idle_timeout(route)
-    return max(MIN_IDLE_TIMEOUT, GAP_MULTIPLE * route.max_gap)
+    return max(MIN_SILENCE_TIMEOUT, GAP_MULTIPLE * route.max_gap)
--- a/src/quetzalgauge/emulation/run.py
+++ b/src/quetzalgauge/emulation/run.py
@@ -504,10 +504,9 @@
                 self._loop.schedule_after(
                     NETWORK_LATENCY_S, lambda: self._submit_to_engine(action)
                 )
-            case requests.CancelAttempt(only_before_head=True):
-                pass  # Emulated targets send the head at once.
             case requests.CancelAttempt():
-                self._cancel_on_engine(action.failure)
+                if not (action.only_if_silent and self._first_byte_at_s):
+                    self._cancel_on_engine(action.failure)
             case requests.Refuse():
                 self._handle_refusal(action)
             case requests.Abort():
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -403,7 +403,7 @@
                 active_request = self._active_requests.get(action.local_id)
                 if active_request is not None:
                     active_request.attempt.cancel(
-                        action.failure, action.only_before_head
+                        action.failure, action.only_if_silent
                     )
             case (
                 requests.Send()
--- a/src/quetzalgauge/node/upstream.py
+++ b/src/quetzalgauge/node/upstream.py
@@ -180,7 +180,7 @@
                 connection,
                 request,
                 headers,
-                action.first_byte_deadline.total_seconds(),
+                action.deadline.total_seconds(),
             )
         attempt.record_head()
         head = wire_headers.decode_response(
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -198,6 +198,66 @@
     return bool(poller.poll(0))
 
 
+class _SilenceTimer:
+    """Reports a stream whose target is silent, and ends it in the end.
+
+    The attempt goes on after a report: the core leaves the target only once
+    another attempt can begin. Times are in seconds on the process clock.
+    """
+
+    def __init__(
+        self,
+        action: requests.Send,
+        attempt: connections.Attempt,
+        post_event: Callable[[requests.Event], None],
+    ) -> None:
+        self._action = action
+        self._attempt = attempt
+        self._post_event = post_event
+        self._deadline = action.deadline.total_seconds()
+        self._report_at = action.first_byte_deadline.total_seconds()
+        self._fail_at = self._deadline
+        self.is_reported = False
+
+    @property
+    def read_deadline(self) -> float:
+        """When the next read times out."""
+        return self._fail_at if self.is_reported else self._report_at
+
+    def report(self, last_event_id: str) -> None:
+        """Tells the core that the target is silent."""
+        self.is_reported = True
+        self._attempt.set_silent(True)
+        self._post_event(
+            requests.AttemptStalled(self._action.local_id, last_event_id)
+        )
+
+    def restart(self, now: float) -> None:
+        """Begins anew, since an event has arrived."""
+        action = self._action
+        if self.is_reported:
+            self.is_reported = False
+            self._attempt.set_silent(False)
+            self._post_event(requests.AttemptResumed(action.local_id))
+        self._fail_at = min(
+            now + action.idle_timeout.total_seconds(), self._deadline
+        )
+        self._report_at = min(
+            now + action.silence_timeout.total_seconds(), self._fail_at
+        )
+
+    def check(self, now: float, last_event_id: str) -> None:
+        """Reports or ends an attempt that gets bytes, but no events.
+
+        Raises:
+            connections.AttemptError: There was no event for the idle timeout.
+        """
+        if now > self._fail_at:
+            raise connections.AttemptError(requests.Failure.IDLE_TIMEOUT)
+        if now > self._report_at and not self.is_reported:
+            self.report(last_event_id)
+
+
 class _Worker:
     """Serves one request by executing the actions for it."""
 
@@ -383,13 +443,10 @@
             )
         has_events = False
         event_filter.resume_after(action.last_event_id)
-        read_deadline = action.first_byte_deadline.total_seconds()
-        idle_timeout = action.idle_timeout.total_seconds()
+        silence = _SilenceTimer(action, attempt, self._context.post_event)
         last_read_at = None
         try:
-            while data := client.read_chunk(
-                response, read_deadline, action, attempt
-            ):
+            while data := self._read_chunk(response, silence, action, attempt):
                 now = self._context.now().total_seconds()
                 if last_read_at is not None:
                     self._longest_gap_seconds = max(
@@ -402,16 +459,11 @@
                     self._write_events(response, events)
                 event_filter.check()
                 # Bytes without an event, and comments, are no progress.
-                if not streams.has_data(events):
-                    if now > read_deadline:
-                        raise connections.AttemptError(
-                            requests.Failure.IDLE_TIMEOUT
-                        )
-                else:
+                if streams.has_data(events):
                     has_events = True
-                    read_deadline = min(
-                        now + idle_timeout, action.deadline.total_seconds()
-                    )
+                    silence.restart(now)
+                else:
+                    silence.check(now, event_filter.last_event_id)
         except streams.StreamError as error:
             raise connections.AttemptError(
                 requests.Failure.MALFORMED_RESPONSE, str(error)
@@ -435,6 +487,28 @@
         self._context.metrics.count_request("200")
         self._writer.end_stream()
 
+    def _read_chunk(
+        self,
+        response: upstream.Response,
+        silence: "_SilenceTimer",
+        action: requests.Send,
+        attempt: connections.Attempt,
+    ) -> bytes:
+        """Reads from a stream, also after its target has become silent."""
+        while True:
+            try:
+                return self._context.upstream_client.read_chunk(
+                    response, silence.read_deadline, action, attempt
+                )
+            except connections.AttemptError as error:
+                if (
+                    error.failure is not requests.Failure.IDLE_TIMEOUT
+                    or attempt.cancel_reason is not None
+                    or silence.is_reported
+                ):
+                    raise
+                silence.report(self._event_filter.last_event_id)
+
     def _write_events(self, response: upstream.Response, events: bytes) -> None:
         is_first = not self._writer.is_started
         if is_first:
--- a/tests/test_core_gateway.py
+++ b/tests/test_core_gateway.py
@@ -262,9 +262,8 @@
     """Guards against a target that sends the head of a response for seconds."""
     harness = make_plain_harness()
     (send,) = harness.submit("/look/1")
-    wait = send.first_byte_deadline - harness.now + gateway.HEAD_TIMEOUT_MARGIN
-    (action,) = harness.advance(wait)
-    assert action.only_before_head
+    (action,) = harness.advance(send.first_byte_deadline - harness.now)
+    assert action.only_if_silent
     assert action.failure is Failure.IDLE_TIMEOUT
     assert harness.advance(samples.ms(60)) == []
 
@@ -551,3 +550,47 @@
     harness.handle_event(requests.RequestEnded(harness.local_id))
     assert harness.fleet.count_own_requests(send.target) == 0
     assert harness.gateway.in_progress_count == 0
+
+
+def make_silent_requests(count, **options):
+    """Submits requests and waits until their targets count as silent."""
+    harness = make_plain_harness(**options)
+    sends = [harness.submit("/look/1")[0] for _ in range(count)]
+    wait = sends[-1].first_byte_deadline - harness.now
+    return harness, harness.advance(wait)
+
+
+def test_a_silent_attempt_is_left_only_for_one_that_may_begin():
+    """Guards against cutting sound requests that cannot be retried.
+
+    The budget has a single retry when all targets are silent.
+    """
+    harness, actions = make_silent_requests(5, retry_slack=2.5)
+    (cancel,) = actions
+    assert cancel.only_if_silent
+    (send,) = harness.fail_attempt(Failure.IDLE_TIMEOUT, cancel.local_id)
+    assert isinstance(send, requests.Send)
+
+
+def test_a_retry_that_is_not_made_returns_its_place_and_its_token():
+    """Guards against a budget spent on responses that were only late."""
+    harness, actions = make_silent_requests(5, retry_slack=2.5)
+    for local_id in range(1, 6):
+        harness.fail_attempt(None, local_id, status=200)
+    (cancel,) = actions
+    assert harness.gateway.dump(harness.now)["retry_tokens"]["desk"] == 1.0
+    for name in ("p0", "p1", "p2"):
+        assert harness.fleet.count_own_requests(name) == 0
+
+
+@pytest.mark.parametrize("last_event_id", ["", "7"])
+def test_a_silent_stream_is_left_if_it_can_be_resumed(last_event_id):
+    """Guards against a stream that ends since its target was silent."""
+    harness = make_engine_harness()
+    harness.submit("/live/1", model="m0")
+    harness.handle_event(requests.ResponseStarted(harness.local_id))
+    stalled = requests.AttemptStalled(harness.local_id, last_event_id)
+    actions = harness.handle_event(stalled)
+    assert len(actions) == bool(last_event_id)
+    harness.handle_event(requests.AttemptResumed(harness.local_id))
+    assert harness.advance(samples.seconds(1)) == []
--- a/tests/test_faulty_targets.py
+++ b/tests/test_faulty_targets.py
@@ -4,8 +4,10 @@
 on kept connections, as operators of similar systems reported.
 """
 
+from concurrent import futures
 import itertools
 import json
+import signal
 import socket
 import time
 
@@ -50,6 +52,27 @@
     faulty_site.wait_for(lambda: not instance.dump()["targets"])
 
 
+@pytest.fixture
+def set_retry_slack(instance):
+    """Changes the retries that the instance may make, until the test ends."""
+    path = instance.settings_path
+    original = path.read_text()
+
+    def change(slack):
+        values = {**json.loads(original), "retry_slack": slack}
+        write(
+            json.dumps({**values, "retry_ratio": 0.0} if not slack else values)
+        )
+
+    def write(text):
+        path.write_text(text)
+        instance.signal(signal.SIGHUP)
+        time.sleep(0.3)
+
+    yield change
+    write(original)
+
+
 def send(instance, path, request_id=None, timeout_ms=5000):
     """Sends a request on a new connection; returns status and body.
 
@@ -508,3 +531,57 @@
     assert received.count(b"HTTP/1.1") == 1
     assert not received.endswith(b"0\r\n\r\n")
     assert json.dumps(instance.dump()["gateway"]["requests"]) == "[]"
+
+
+@pytest.mark.parametrize("path", ["ask", "tell", "once", "show"])
+@pytest.mark.parametrize("within", [False, True], ids=["before", "within"])
+def test_pause_of_sound_targets_ends_no_request(
+    instance, pair, set_retry_slack, path, within
+):
+    """Guards against a response that is cut since its target was silent.
+
+    Both targets pause for 1.2 s, before the response or within a stream. There
+    are no retries left, so no other target can respond sooner.
+    """
+    set_retry_slack(0)
+
+    def script(request):
+        is_stream = path in ("tell", "show")
+        if not within or not is_stream:
+            yield 1.2
+        if not is_stream:
+            yield from faulty_target.make_response(request)
+            return
+        yield faulty_target.make_stream_head(request)
+        for number in range(1, 4):
+            yield faulty_target.make_event(number)
+            if within and number == 1:
+                yield 1.2
+        yield END
+
+    set_script(pair, script)
+    with futures.ThreadPoolExecutor(20) as executor:
+        results = list(
+            executor.map(
+                lambda _: send(instance, f"/{path}/1"),
+                range(20),
+            )
+        )
+    assert {status for status, _ in results} == {200}
+    assert None not in {body for _, body in results}
+    arrived = [request.request_id for t in pair for request in t.requests]
+    assert len(arrived) == len(set(arrived)) == 20
+
+
+def test_hung_target_is_left_while_there_are_retries(instance, pair):
+    """Guards against a request that waits for a target that never responds."""
+    hung = pair[0]
+    set_script([hung], lambda request: [30.0])
+    with futures.ThreadPoolExecutor(8) as executor:
+        started_at = time.monotonic()
+        results = list(
+            executor.map(lambda _: send(instance, "/ask/1"), range(8))
+        )
+    assert {status for status, _ in results} == {200}
+    assert hung.requests
+    assert time.monotonic() - started_at < 2.5
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -56,7 +56,7 @@
 def fetch(address, attempt):
     deadline = now() + 20 * SECOND
     action = requests.Send(
-        1, "t1", address, deadline, deadline, SECOND, True, False
+        1, "t1", address, deadline, deadline, SECOND, SECOND, True, False
     )
     request = upstream.OutgoingRequest("GET", "/look/1", (), b"", "r1")
     client = upstream.UpstreamClient(now)
