Keep retries within the budget after restarts and partitions

Retries piled up beyond the budget of a service when instances restarted one after the other. Each process began with half of the budget of all instances, and one that had heard no leader took itself for the only one. Sides of a partition counted only themselves, and a reload cleared what had been spent.

A process now begins without retries and has no part of the fixed number until it knows how many instances share it.

The tests of the gateway now state that their instance knows of no others, which was the default before.

--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -269,9 +269,12 @@
         return self._zones[zone].leader_active_from
 
     def count_instances(self) -> int:
-        """Returns the number of instances that report to leaders."""
+        """Returns the number of instances that report to leaders.
+
+        0 if no leader has published it yet.
+        """
         counts = [state.instance_count for state in self._zones.values()]
-        return max(counts, default=1)
+        return max(counts, default=0)
 
     def list_usable_targets(
         self, service: ids.ServiceName, now: datetime.timedelta
--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -254,10 +254,12 @@
         return events + self._quarantine.take_log_events()
 
     def set_limits(self, limits: Limits) -> None:
-        """Replaces the limits; a change resets the retry budgets."""
-        if limits != self._limits:
-            self._limits = limits
-            self._retry_budgets.clear()
+        """Replaces the limits; retries that were made still count."""
+        self._limits = limits
+        for budget in self._retry_budgets.values():
+            budget.configure(
+                limits.retry_ratio, limits.retry_slack, limits.retry_window
+            )
 
     def configure(self, config: configuration.Configuration) -> None:
         """Sets the configuration of requests that arrive from now on."""
@@ -481,7 +483,7 @@
                 return refusal
         if head.model is not None:
             self._demand_reporter.count_arrival(head.model, head.adapter)
-        self._get_retry_budget(service).record_request()
+        self._get_retry_budget(service, now).record_request()
         return self._dispatch(request, now)
 
     def _can_finish_before_stop(
@@ -546,7 +548,7 @@
         return service_config.engine.models.get(name)
 
     def _get_retry_budget(
-        self, service: ids.ServiceName
+        self, service: ids.ServiceName, now: datetime.timedelta
     ) -> retry_budget.RetryBudget:
         budget = self._retry_budgets.get(service)
         if budget is None:
@@ -554,9 +556,10 @@
                 self._limits.retry_ratio,
                 self._limits.retry_slack,
                 self._limits.retry_window,
+                self._fleet.count_instances(),
             )
             self._retry_budgets[service] = budget
-        budget.set_instance_count(self._fleet.count_instances())
+        budget.set_instance_count(self._fleet.count_instances(), now)
         return budget
 
     def _dispatch(
@@ -754,7 +757,9 @@
         if (
             request.has_reached_target
             and not request.has_retry_token
-            and not self._get_retry_budget(request.queue_key[0]).try_spend(now)
+            and not self._get_retry_budget(request.queue_key[0], now).try_spend(
+                now
+            )
         ):
             return self._end_unserved(request, "retry_budget", now)
         request.has_retry_token = False
@@ -1092,7 +1097,7 @@
         ):
             return []
         target = self._find_target(request, now, excluded=current.target)
-        budget = self._get_retry_budget(request.queue_key[0])
+        budget = self._get_retry_budget(request.queue_key[0], now)
         if target is None or not budget.try_spend(now):
             return []
         request.silent_from = datetime.timedelta.max
@@ -1130,7 +1135,7 @@
             request.retry_target = None
         if request.has_retry_token:
             request.has_retry_token = False
-            self._get_retry_budget(request.queue_key[0]).refund()
+            self._retry_budgets[request.queue_key[0]].refund()
 
     def _handle_response_start(
         self, event: requests.ResponseStarted, now: datetime.timedelta
--- a/tests/core_samples.py
+++ b/tests/core_samples.py
@@ -166,6 +166,8 @@
         self.fleet.directory.update(
             targets.RegistryUpdated(tuple(entries), complete=True), self.now
         )
+        # Its instance knows that it is the only one.
+        self.fleet.count_instances = lambda: 1
         self.gateway = gateway.Gateway(
             gateway.Limits(max_in_progress, 0.2, retry_slack, seconds(10)),
             self.fleet,
--- a/tests/test_core_fleet.py
+++ b/tests/test_core_fleet.py
@@ -208,7 +208,7 @@
     budgets = []
     for _ in range(instances):
         budget = retry_budget.RetryBudget(0.2, 52.0, window)
-        budget.set_instance_count(instances)
+        budget.set_instance_count(instances, seconds(0))
         budgets.append(budget)
     retry_times = []
     requests = 0
