Use targets no further that state in a response that they leave

Requests reached targets long after these had said in their responses that they leave, while their registry entries said that they were ready. No code read the header.

Any response with it, also a rejection or a status report, now marks this start of the target as draining. Queued requests, retries and resumed streams choose another target.

--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -796,6 +796,7 @@
                 route.kind is configuration.RouteKind.STREAM,
                 request.last_event_id,
                 min(9, route.priority) if request.head.model else None,
+                target.incarnation,
             )
         ]
 
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -152,6 +152,7 @@
     | LimitsChanged
     | DrainRequested
     | targets.RegistryUpdated
+    | targets.LeavingAnnounced
     | requests.Event
     | orders.Event
     | election_module.Event
@@ -365,7 +366,11 @@
             case ConfigurationRead():
                 actions += self._apply_configuration(event.configuration, now)
             case targets.RegistryUpdated():
-                actions += self._apply_registry_update(event, now)
+                changes = self._fleet.directory.update(event, now)
+                actions += self._apply_target_changes(changes, now)
+            case targets.LeavingAnnounced():
+                changes = self._fleet.directory.record_leaving(event)
+                actions += self._apply_target_changes(changes, now)
             case MessageReceived():
                 actions += self._handle_message(event, now)
             case LinkOpened():
@@ -392,9 +397,14 @@
             return []
         if isinstance(event, orders.OrderResult):
             self._leader.apply_order_result(event, now)
-        else:
-            self._leader.apply_status(event, now)
-        return self._run_leader(now)
+            return self._run_leader(now)
+        self._leader.apply_status(event, now)
+        changes: list[log_events.LogEvent] = []
+        if event.status is not None and event.status.is_leaving:
+            changes = self._fleet.directory.record_leaving(
+                targets.LeavingAnnounced(event.target, event.incarnation)
+            )
+        return self._apply_target_changes(changes, now) or self._run_leader(now)
 
     def abort_requests(self, now: datetime.timedelta) -> list[Action]:
         """Aborts all requests because the process must end."""
@@ -494,10 +504,9 @@
         self._leader.sync_targets()
         return self._run_leader(now)
 
-    def _apply_registry_update(
-        self, event: targets.RegistryUpdated, now: datetime.timedelta
+    def _apply_target_changes(
+        self, changes: list[log_events.LogEvent], now: datetime.timedelta
     ) -> list[Action]:
-        changes = self._fleet.directory.update(event, now)
         self._log_events += changes
         if not changes:
             return []
--- a/src/quetzalgauge/core/orders.py
+++ b/src/quetzalgauge/core/orders.py
@@ -72,6 +72,7 @@
         copies: Cached copies of weights in host memory and on disk.
         running_count: Number of requests in progress.
         queued_count: Number of requests queued at the target.
+        is_leaving: Whether the target states that it will terminate.
     """
 
     sequence_number: int
@@ -81,6 +82,7 @@
     copies: targets.CachedCopies
     running_count: int
     queued_count: int
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/quetzalgauge/core/requests.py
+++ b/src/quetzalgauge/core/requests.py
@@ -205,6 +205,7 @@
         last_event_id: Event id after which the stream resumes, or empty.
         priority: Priority sent to the target, from 0 (the most urgent) to 9;
             None for a plain request.
+        incarnation: Start time of the target, see `targets.Description`.
     """
 
     local_id: int
@@ -218,6 +219,7 @@
     is_stream: bool
     last_event_id: str = ""
     priority: int | None = None
+    incarnation: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/quetzalgauge/core/targets.py
+++ b/src/quetzalgauge/core/targets.py
@@ -16,6 +16,9 @@
 # The platform guarantees that a live target registers again within this time
 # after a registry outage.
 REREGISTRATION_GRACE = datetime.timedelta(seconds=2)
+# Targets that have announced their end, whether they are still registered or
+# not. The oldest announcements are dropped.
+MAX_ANNOUNCEMENTS = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +90,19 @@
     unreadable: tuple[ids.TargetId, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingAnnounced:
+    """A target stated in a response that it will terminate.
+
+    Attributes:
+        target: The target.
+        incarnation: The incarnation that the request was sent to.
+    """
+
+    target: ids.TargetId
+    incarnation: int
+
+
 @dataclasses.dataclass(slots=True)
 class _DirectoryEntry:
     description: Description
@@ -104,6 +120,7 @@
     def __init__(self) -> None:
         self._entries: dict[ids.TargetId, _DirectoryEntry] = {}
         self._by_service: dict[ids.ServiceName, list[Description]] = {}
+        self._leaving: dict[ids.TargetId, int] = {}
         self._is_complete = False
         self._revision = 0
 
@@ -168,6 +185,34 @@
             self._rebuild_index()
         return events
 
+    def record_leaving(
+        self, event: LeavingAnnounced
+    ) -> list[log_events.LogEvent]:
+        """Counts a target as draining, whatever its registry entry says.
+
+        That holds until it starts again.
+
+        Returns:
+            The changes for the log.
+        """
+        if self._leaving.get(event.target, -1) >= event.incarnation:
+            return []
+        self._leaving[event.target] = event.incarnation
+        if len(self._leaving) > MAX_ANNOUNCEMENTS:
+            del self._leaving[next(iter(self._leaving))]
+        entry = self._entries.get(event.target)
+        if (
+            entry is None
+            or entry.description.is_draining
+            or entry.description.incarnation != event.incarnation
+        ):
+            return []
+        entry.description = dataclasses.replace(
+            entry.description, is_draining=True
+        )
+        self._rebuild_index()
+        return [_make_log_event("target_leaving", entry.description)]
+
     def expire(self, now: datetime.timedelta) -> list[log_events.LogEvent]:
         """Drops targets that did not register again in the grace period."""
         events = [
@@ -187,6 +232,8 @@
         self, entry: Description, now: datetime.timedelta
     ) -> Iterable[log_events.LogEvent]:
         current = self._entries.get(entry.target)
+        if self._leaving.get(entry.target) == entry.incarnation:
+            entry = dataclasses.replace(entry, is_draining=True)
         if current is None:
             self._entries[entry.target] = _DirectoryEntry(entry, now)
             return [_make_log_event("target_found", entry)]
--- a/src/quetzalgauge/node/http_client.py
+++ b/src/quetzalgauge/node/http_client.py
@@ -45,6 +45,7 @@
 
     status: int
     data: bytes
+    headers: tuple[tuple[str, str], ...] = ()
 
     def json(self) -> Any:
         """Returns the body as JSON.
@@ -214,7 +215,7 @@
             content = _decompress(content)
         if not parser.can_reuse_connection:
             self.close()
-        return Response(parser.head.status, content)
+        return Response(parser.head.status, content, parser.head.headers)
 
 
 def _read_response(
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -143,7 +143,7 @@
                     self._post_event,
                     self._active_requests,
                     self._disconnect_watcher,
-                    upstream.UpstreamClient(self._now),
+                    upstream.UpstreamClient(self._now, self._post_event),
                     self._metrics,
                     lambda: self._node.is_draining,
                 )
--- a/src/quetzalgauge/node/upstream.py
+++ b/src/quetzalgauge/node/upstream.py
@@ -16,6 +16,7 @@
 
 from quetzalgauge import clock
 from quetzalgauge.core import requests
+from quetzalgauge.core import targets
 from quetzalgauge.node import connections
 from quetzalgauge.node import response_parser
 from quetzalgauge.platform import headers as wire_headers
@@ -112,10 +113,20 @@
 
 
 class UpstreamClient:
-    """Sends requests to targets. It is safe for use by several threads."""
+    """Sends requests to targets. It is safe for use by several threads.
 
-    def __init__(self, now: clock.Clock) -> None:
+    Args:
+        now: The clock.
+        on_leaving: Called when a target states that it will terminate.
+    """
+
+    def __init__(
+        self,
+        now: clock.Clock,
+        on_leaving: Callable[[targets.LeavingAnnounced], None],
+    ) -> None:
         self._now = now
+        self._on_leaving = on_leaving
         self._pool = connections.ConnectionPool()
 
     def acquire_connection(
@@ -193,6 +204,11 @@
                 requests.Failure.MALFORMED_RESPONSE,
                 f"contradictory head with status {head.status}",
             )
+        # Another target may have taken over the address.
+        if head.is_leaving and head.target in (None, action.target):
+            self._on_leaving(
+                targets.LeavingAnnounced(action.target, action.incarnation)
+            )
         if head.is_rejection:
             self._read_rejection(connection, response, action, attempt)
             raise connections.AttemptError(_classify_rejection(head, action))
--- a/src/quetzalgauge/platform/engine.py
+++ b/src/quetzalgauge/platform/engine.py
@@ -1,5 +1,6 @@
 """Client of model engines: sends orders and fetches status reports."""
 
+import dataclasses
 import datetime
 from typing import Any
 
@@ -9,6 +10,7 @@
 from quetzalgauge import json_fields
 from quetzalgauge.core import orders
 from quetzalgauge.node import http_client
+from quetzalgauge.platform import headers as wire_headers
 from quetzalgauge.platform import registry
 
 _OUTCOMES_BY_STATUS = {
@@ -75,7 +77,10 @@
         raise exceptions.PlatformError(
             f"the target returned status {response.status} for its report"
         )
-    return decode_status(response.data)
+    status = decode_status(response.data)
+    return dataclasses.replace(
+        status, is_leaving=wire_headers.is_leaving(response.headers)
+    )
 
 
 @decoding.guard("report")
--- a/src/quetzalgauge/platform/headers.py
+++ b/src/quetzalgauge/platform/headers.py
@@ -23,6 +23,7 @@
 _PRIORITY = "Request-Priority"
 _RETRY_AFTER = "Retry-After"
 _STAMP = "Response-Stamp"
+_LEAVING = "Server-Leaving"
 _PROMPT_PREFIX = "Prompt-Prefix"
 
 # Only the system may set these; they are dropped from a caller's request. A
@@ -94,6 +95,7 @@
         is_malformed: Whether the head contradicts itself or is no final
             response, so that nothing it says can be relied on.
         target: Id of the target that responded, None if absent.
+        is_leaving: Whether the target states that it will terminate.
     """
 
     status: int
@@ -101,6 +103,7 @@
     is_rejection: bool
     is_malformed: bool
     target: str | None
+    is_leaving: bool = False
 
 
 def decode_request(headers: Headers, path: str) -> requests.Head:
@@ -254,6 +257,15 @@
             names.count(name.lower()) > 1 for name in _UNIQUE_RESPONSE_HEADERS
         ),
         values.get(_TARGET.lower()),
+        is_leaving(headers),
+    )
+
+
+def is_leaving(headers: Headers) -> bool:
+    """Returns whether a target states in a response that it will terminate."""
+    return any(
+        name.lower() == _LEAVING.lower() and value.strip() == "1"
+        for name, value in headers
     )
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -59,7 +59,7 @@
         1, "t1", address, deadline, deadline, SECOND, SECOND, True, False
     )
     request = upstream.OutgoingRequest("GET", "/look/1", (), b"", "r1")
-    client = upstream.UpstreamClient(now)
+    client = upstream.UpstreamClient(now, lambda event: None)
     connection, _ = client.acquire_connection(
         action, request.request_id, attempt
     )
