Bound the memory of all bodies that are buffered together

Targets that send bodies without end made an instance grow to 576 to 759 MB with 40 requests at once, of 300 that it may take. Each response had its own bound of 32 MB, and nothing bounded all of them.

Bodies of requests and responses now share a part of the memory in the settings. What does not fit is passed on as it arrives, or refused with 503 where it is the body of a request. Rejections, status reports and responses of the store have smaller bounds.

--- a/src/quetzalgauge/node/http_client.py
+++ b/src/quetzalgauge/node/http_client.py
@@ -24,7 +24,8 @@
 from quetzalgauge.node import response_parser
 from quetzalgauge.platform import headers as wire_headers
 
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Pages of the store have up to 1 MB, a third more as text.
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 _READ_SIZE_BYTES = 65536
 _INVALID_RESPONSE_ERRORS = (
@@ -68,11 +69,17 @@
         url: http(s)://IP-ADDRESS:PORT with an optional path, which is prepended
             to the path of each call.
         connect_timeout: Timeout for opening the connection.
+        max_response_bytes: Longest body of a response, also decompressed;
+            MAX_RESPONSE_BYTES by default.
     """
 
     def __init__(
-        self, url: str, connect_timeout: datetime.timedelta = CONNECT_TIMEOUT
+        self,
+        url: str,
+        connect_timeout: datetime.timedelta = CONNECT_TIMEOUT,
+        max_response_bytes: int | None = None,
     ) -> None:
+        self._max_response_bytes = max_response_bytes or MAX_RESPONSE_BYTES
         parts = urllib.parse.urlsplit(url)
         self._url = url
         self._prefix = parts.path.rstrip("/")
@@ -209,10 +216,12 @@
         )
         _set_timeout(sock, deadline)
         sock.sendall(request)
-        content = _read_response(sock, parser, deadline)
+        content = _read_response(
+            sock, parser, deadline, self._max_response_bytes
+        )
         assert parser.head is not None
         if (parser.head.get("Content-Encoding") or "").lower() == "gzip":
-            content = _decompress(content)
+            content = _decompress(content, self._max_response_bytes)
         if not parser.can_reuse_connection:
             self.close()
         return Response(parser.head.status, content, parser.head.headers)
@@ -222,6 +231,7 @@
     sock: socket.socket,
     parser: response_parser.ResponseParser,
     deadline: float,
+    max_bytes: int,
 ) -> bytes:
     """Reads a response to its end and returns its body.
 
@@ -242,8 +252,8 @@
         parser.feed(data)
         chunks.append(parser.take_body())
         size += len(chunks[-1])
-        if size > MAX_RESPONSE_BYTES:
-            raise ValueError(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
+        if size > max_bytes:
+            raise ValueError(f"response exceeds {max_bytes} bytes")
     body = b"".join(chunks)
     assert parser.head is not None
     if wire_headers.contains_response(body, parser.rest, parser.head.is_framed):
@@ -258,7 +268,7 @@
     sock.settimeout(remaining)
 
 
-def _decompress(data: bytes) -> bytes:
+def _decompress(data: bytes, max_bytes: int) -> bytes:
     """Decompresses a gzip body, with the size limit of any other body.
 
     Raises:
@@ -267,7 +277,7 @@
     """
     decompressor = zlib.decompressobj(zlib.MAX_WBITS | 16)
     try:
-        content = decompressor.decompress(data, MAX_RESPONSE_BYTES)
+        content = decompressor.decompress(data, max_bytes)
     except zlib.error as error:
         raise ValueError(f"invalid gzip body: {error}") from error
     if not decompressor.eof or decompressor.unused_data:
--- a/src/quetzalgauge/node/listener.py
+++ b/src/quetzalgauge/node/listener.py
@@ -158,23 +158,28 @@
         """Handles the request."""
         self.server.serve_request(self)
 
-    def read_body(self) -> bytes:
+    def read_body(self, take_memory: Callable[[int], bool]) -> bytes:
         """Reads the body.
 
+        Args:
+            take_memory: Takes memory for a number of bytes; returns False if
+                there is none.
+
         Raises:
-            BodyError: The body is too long, malformed or incomplete, or did
-                not arrive in time.
+            BodyError: The body is too long, malformed or incomplete, did not
+                arrive in time, or there is no memory for it.
         """
         limits = self.server.limits()
         self.conn.socket.settimeout(limits.header_timeout.total_seconds())
         try:
             if b"Transfer-Encoding" in self.inheaders:
                 return _read_chunked_body(
-                    self.conn.rfile, limits.max_body_bytes
+                    self.conn.rfile, limits.max_body_bytes, take_memory
                 )
             length = int(self.inheaders.get(b"Content-Length", b"0"))
             if length > limits.max_body_bytes:
                 raise BodyError(413, "the body is too long")
+            _take_memory(length, take_memory)
             body: bytes = self.conn.rfile.read(length) if length else b""
         except TimeoutError:
             raise BodyError(408, "the body did not arrive in time") from None
@@ -197,7 +202,14 @@
         self.status = status
 
 
-def _read_chunked_body(rfile: Any, limit: int) -> bytes:
+def _take_memory(size: int, take_memory: Callable[[int], bool]) -> None:
+    if not take_memory(size):
+        raise BodyError(503, "no memory for the body")
+
+
+def _read_chunked_body(
+    rfile: Any, limit: int, take_memory: Callable[[int], bool]
+) -> bytes:
     chunks = []
     total = 0
     while True:
@@ -210,6 +222,7 @@
         total += size
         if total > limit:
             raise BodyError(413, "the body is too long")
+        _take_memory(size, take_memory)
         data = rfile.read(size + 2)
         if len(data) < size + 2 or data[-2:] != _CRLF:
             raise BodyError(400, "a chunk is malformed")
@@ -405,16 +418,28 @@
     status: int,
     body: bytes | str,
     content_type: str = "text/plain",
+    retry_after: datetime.timedelta | None = None,
 ) -> None:
     """Writes a short response with `Connection: close`.
 
     Errors are ignored, since the peer may have disconnected.
+
+    Args:
+        request: The request.
+        status: HTTP status.
+        body: The body.
+        content_type: Media type of the body.
+        retry_after: Time until a retry may succeed, None if a later retry
+            makes no difference.
     """
     data = body if isinstance(body, bytes) else body.encode()
     head = (
         f"HTTP/1.1 {status} {http.client.responses.get(status, 'Error')}\r\n"
         f"Content-Type: {content_type}\r\nContent-Length: {len(data)}\r\n"
-        "Connection: close\r\n\r\n"
+        "Connection: close\r\n"
     )
+    if retry_after is not None:
+        head += f"Retry-After: {retry_after.total_seconds():.2f}\r\n"
+    head += "\r\n"
     with contextlib.suppress(OSError):
         request.conn.socket.sendall(head.encode() + data)
--- a/src/quetzalgauge/node/order_dispatcher.py
+++ b/src/quetzalgauge/node/order_dispatcher.py
@@ -22,6 +22,8 @@
 # Targets close idle connections after 10 s. An order that is sent on such a
 # connection has an unknown outcome, so connections are closed here before that.
 MAX_CONNECTION_IDLE_TIME = datetime.timedelta(seconds=4)
+# Each of the tasks may read a response at the same time. A report has a few KB.
+MAX_RESPONSE_BYTES = 256 * 1024
 
 
 def make_order_dispatcher(
@@ -49,7 +51,7 @@
         address: Any,
     ) -> tuple[Callable[[Any], None], Callable[[], None]]:
         connection = http_client.Connection(
-            f"http://{address}", CONNECT_TIMEOUT
+            f"http://{address}", CONNECT_TIMEOUT, MAX_RESPONSE_BYTES
         )
         last_used_at = now()
 
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -23,6 +23,7 @@
 from quetzalgauge.core import node
 from quetzalgauge.core import orders
 from quetzalgauge.core import requests
+from quetzalgauge.node import buffer_memory
 from quetzalgauge.node import disconnect_watcher
 from quetzalgauge.node import election_client
 from quetzalgauge.node import event_log
@@ -145,6 +146,7 @@
                     self._disconnect_watcher,
                     upstream.UpstreamClient(self._now, self._post_event),
                     self._metrics,
+                    buffer_memory.make_buffer_memory(config.memory_mb),
                     lambda: self._node.is_draining,
                 )
             ),
--- a/src/quetzalgauge/node/upstream.py
+++ b/src/quetzalgauge/node/upstream.py
@@ -28,6 +28,11 @@
 TIMEOUT_TOLERANCE_SECONDS = 0.02
 READ_SIZE_BYTES = 65_536
 MAX_RESPONSE_BYTES = 32 * 1_048_576
+# A rejection says why in a few words; its body is not passed on.
+MAX_REJECTION_BYTES = 65_536
+# The end of what was received of a body is held back until more arrives, since
+# the head of another response may begin in it.
+HELD_BACK_BYTES = 4096
 # Time for the rest of a rejection after its head.
 REJECTION_TIMEOUT_SECONDS = 1.0
 _MAX_DETAIL_CHARACTERS = 200
@@ -244,23 +249,51 @@
                 lambda: self._get_socket_timeout(deadline_seconds)
             )
 
-    def read_response(
+    def iterate_body(
         self,
         response: Response,
         action: requests.Send,
         attempt: connections.Attempt,
-    ) -> BufferedResponse:
-        """Reads a complete response.
+        deadline_seconds: float | None = None,
+        max_bytes: int = MAX_RESPONSE_BYTES,
+    ) -> Iterator[bytes]:
+        """Yields the parts of a body up to its proper end.
+
+        Args:
+            response: The response.
+            action: The action that started the attempt.
+            attempt: The attempt.
+            deadline_seconds: When a read times out, in seconds on the process
+                clock; the deadline of the request by default.
+            max_bytes: Longest body.
 
         Raises:
-            connections.AttemptError: As for `read_chunk`, or the response is
-                too long, or another response began within it.
+            connections.AttemptError: As for `read_chunk`, or the body is too
+                long, or another response begins in the next part.
         """
-        body = self._read_body(
-            response, action.deadline.total_seconds(), action, attempt
-        )
-        head = response.head
-        return BufferedResponse(head.status, head.reason, head.headers, body)
+        if deadline_seconds is None:
+            deadline_seconds = action.deadline.total_seconds()
+        is_framed = response.head.is_framed
+        size = 0
+        held_back = b""
+        while data := self.read_chunk(
+            response, deadline_seconds, action, attempt
+        ):
+            size += len(data)
+            if size > max_bytes:
+                raise connections.AttemptError(
+                    requests.Failure.MALFORMED_RESPONSE, "body is too long"
+                )
+            held_back += data
+            if len(held_back) < 2 * HELD_BACK_BYTES:
+                continue
+            part = held_back[:-HELD_BACK_BYTES]
+            held_back = held_back[-HELD_BACK_BYTES:]
+            _check_body(part, held_back, is_framed)
+            yield part
+        _check_body(held_back, response.rest, is_framed)
+        if held_back:
+            yield held_back
 
     def release_connection(
         self,
@@ -306,34 +339,6 @@
             _receive(sock, parser, self._get_socket_timeout(deadline_seconds))
         return Response(sock, parser, parser.head)
 
-    def _read_body(
-        self,
-        response: Response,
-        deadline_seconds: float,
-        action: requests.Send,
-        attempt: connections.Attempt,
-    ) -> bytes:
-        chunks = []
-        size = 0
-        while data := self.read_chunk(
-            response, deadline_seconds, action, attempt
-        ):
-            chunks.append(data)
-            size += len(data)
-            if size > MAX_RESPONSE_BYTES:
-                raise connections.AttemptError(
-                    requests.Failure.MALFORMED_RESPONSE, "body is too long"
-                )
-        body = b"".join(chunks)
-        if wire_headers.contains_response(
-            body, response.rest, response.head.is_framed
-        ):
-            raise connections.AttemptError(
-                requests.Failure.MALFORMED_RESPONSE,
-                "another response began in the body",
-            )
-        return body
-
     def _read_rejection(
         self,
         connection: connections.Connection,
@@ -347,10 +352,13 @@
         may have run the request.
 
         Raises:
-            connections.AttemptError: As for `read_response`.
+            connections.AttemptError: As for `iterate_body`.
         """
         deadline = self._now().total_seconds() + REJECTION_TIMEOUT_SECONDS
-        self._read_body(response, deadline, action, attempt)
+        for _ in self.iterate_body(
+            response, action, attempt, deadline, MAX_REJECTION_BYTES
+        ):
+            pass
         if response.rest and _contains_acceptance(response.rest):
             raise connections.AttemptError(
                 requests.Failure.MALFORMED_RESPONSE,
@@ -392,6 +400,15 @@
             raise connections.AttemptError(attempt.cancel_reason)
 
 
+def _check_body(part: bytes, rest: bytes, is_framed: bool) -> None:
+    """Raises AttemptError if another response begins in a part of a body."""
+    if wire_headers.contains_response(part, rest, is_framed):
+        raise connections.AttemptError(
+            requests.Failure.MALFORMED_RESPONSE,
+            "another response began in the body",
+        )
+
+
 def _describe(error: Exception) -> str:
     """Returns an error in a form that fits into a line of the log."""
     return f"{type(error).__name__}: {error}"[:_MAX_DETAIL_CHARACTERS]
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import datetime
 import http.client
@@ -19,6 +20,7 @@
 from quetzalgauge import clock
 from quetzalgauge import exceptions
 from quetzalgauge.core import requests
+from quetzalgauge.node import buffer_memory
 from quetzalgauge.node import connections
 from quetzalgauge.node import disconnect_watcher
 from quetzalgauge.node import listener
@@ -31,6 +33,10 @@
 # An interim response, which callers ignore. It shows whether a caller that has
 # ended its sending half has closed the connection.
 _INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Longer bodies are not copied behind their head to be sent at once.
+_MAX_JOINED_BYTES = 65_536
+# Until when a caller should try again whose body finds no memory.
+_MEMORY_RETRY_AFTER = datetime.timedelta(seconds=1)
 
 
 class ActiveRequest:
@@ -65,6 +71,7 @@
         watcher: Detects callers that disconnect.
         upstream_client: Sends requests to targets.
         metrics: The metrics.
+        memory: Memory for the bodies of requests and responses.
         is_draining: Whether the instance is draining; connections are then
             closed after their response.
     """
@@ -75,6 +82,7 @@
     watcher: disconnect_watcher.DisconnectWatcher
     upstream_client: upstream.UpstreamClient
     metrics: metrics.Metrics
+    memory: buffer_memory.BufferMemory
     is_draining: Callable[[], bool]
 
 
@@ -133,14 +141,32 @@
         else:
             body = b""
         self.is_started = True
-        self._send(self._format_head(status, reason, sent_headers) + body)
+        head = self._format_head(status, reason, sent_headers)
+        if len(body) <= _MAX_JOINED_BYTES:
+            self._send(head + body)
+            return
+        self._send(head)
+        self._send(body)
 
     def start_stream(
-        self, status: int, reason: str, headers: Iterable[tuple[str, str]]
+        self,
+        status: int,
+        reason: str,
+        headers: Iterable[tuple[str, str]],
+        length: str | None = None,
     ) -> None:
-        """Prepares the head of a stream; it is sent with the first events."""
+        """Prepares the head of a stream; it is sent with the first data.
+
+        Args:
+            status: HTTP status.
+            reason: Reason phrase.
+            headers: The other headers.
+            length: Length of the body in bytes, None if it is unknown.
+        """
         sent_headers = list(headers)
-        if self._request.request_protocol == b"HTTP/1.1":
+        if length is not None:
+            sent_headers.append(("Content-Length", length))
+        elif self._request.request_protocol == b"HTTP/1.1":
             self._chunked = True
             sent_headers.append(("Transfer-Encoding", "chunked"))
         else:
@@ -148,8 +174,8 @@
         self.is_started = True
         self._pending_head = self._format_head(status, reason, sent_headers)
 
-    def write_events(self, data: bytes) -> None:
-        """Writes one or more complete events."""
+    def write_data(self, data: bytes) -> None:
+        """Writes a part of a stream: complete events, or bytes of a body."""
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         head, self._pending_head = self._pending_head, b""
@@ -267,8 +293,10 @@
         outgoing: upstream.OutgoingRequest,
         active_request: ActiveRequest,
         context: WorkerContext,
+        reservation: buffer_memory.Reservation,
         has_prompt_parts: bool,
     ) -> None:
+        self._reservation = reservation
         self._has_prompt_parts = has_prompt_parts
         self._outgoing = outgoing
         self._active_request = active_request
@@ -399,7 +427,21 @@
             raise connections.AttemptError(
                 requests.Failure.MALFORMED_RESPONSE, "status in a stream"
             )
-        buffered = client.read_response(response, action, attempt)
+        parts = []
+        body = client.iterate_body(response, action, attempt)
+        for part in body:
+            parts.append(part)
+            if not self._reservation.take_for_response(len(part)):
+                self._pass_on(response, parts, body)
+                self._finish_exchange(connection, response, action, attempt)
+                self._writer.end_stream()
+                return True
+        buffered = upstream.BufferedResponse(
+            response.head.status,
+            response.head.reason,
+            response.head.headers,
+            b"".join(parts),
+        )
         client.release_connection(connection, response, action, attempt)
         # The core requires a new connection for requests that must not be
         # retried. Their caller receives a 5xx response as it is.
@@ -414,6 +456,71 @@
         self._write_response(buffered)
         return True
 
+    def _pass_on(
+        self,
+        response: upstream.Response,
+        received: list[bytes],
+        rest: Iterator[bytes],
+    ) -> None:
+        """Passes on a body as it arrives, since it cannot be buffered.
+
+        Args:
+            response: The response.
+            received: The parts of the body that were received.
+            rest: Yields the other parts.
+
+        Raises:
+            connections.AttemptError: The response is not complete, or its
+                caller has disconnected.
+        """
+        head = response.head
+        self._writer.start_stream(
+            head.status,
+            head.reason,
+            wire_headers.filter_response_headers(head.headers),
+            head.get("Content-Length"),
+        )
+        self._context.post_event(
+            requests.ResponseStarted(self._active_request.local_id)
+        )
+        self._context.metrics.observe_first_byte(
+            self._context.now() - self._arrived_at
+        )
+        self._has_written_data = True
+        try:
+            while received:
+                self._writer.write_data(received.pop(0))
+            self._reservation.release()
+            for part in rest:
+                self._writer.write_data(part)
+        except _CallerDisconnectedError as error:
+            raise connections.AttemptError(
+                requests.Failure.CALLER_DISCONNECTED
+            ) from error
+
+    def _finish_exchange(
+        self,
+        connection: connections.Connection,
+        response: upstream.Response,
+        action: requests.Send,
+        attempt: connections.Attempt,
+    ) -> None:
+        """Releases the connection after a response that was passed on."""
+        self._context.upstream_client.release_connection(
+            connection, response, action, attempt
+        )
+        self._context.post_event(
+            requests.AttemptEnded(
+                self._active_request.local_id,
+                None,
+                response.head.status,
+                longest_gap=datetime.timedelta(
+                    seconds=self._longest_gap_seconds
+                ),
+            )
+        )
+        self._context.metrics.count_request(str(response.head.status))
+
     def _write_response(self, response: upstream.BufferedResponse) -> None:
         self._context.metrics.count_request(str(response.status))
         self._context.metrics.observe_first_byte(
@@ -433,7 +540,6 @@
         response: upstream.Response,
         attempt: connections.Attempt,
     ) -> None:
-        client = self._context.upstream_client
         event_filter = self._event_filter
         media_type = _get_media_type(response)
         if self._stream_type is not None and media_type != self._stream_type:
@@ -473,18 +579,7 @@
             raise connections.AttemptError(
                 requests.Failure.CONNECTION_LOST, "stream without its end"
             )
-        client.release_connection(connection, response, action, attempt)
-        self._context.post_event(
-            requests.AttemptEnded(
-                self._active_request.local_id,
-                None,
-                response.head.status,
-                longest_gap=datetime.timedelta(
-                    seconds=self._longest_gap_seconds
-                ),
-            )
-        )
-        self._context.metrics.count_request("200")
+        self._finish_exchange(connection, response, action, attempt)
         self._writer.end_stream()
 
     def _read_chunk(
@@ -518,7 +613,7 @@
                 wire_headers.filter_response_headers(response.head.headers),
             )
         try:
-            self._writer.write_events(events)
+            self._writer.write_data(events)
         except _CallerDisconnectedError as error:
             raise connections.AttemptError(
                 requests.Failure.CALLER_DISCONNECTED
@@ -564,14 +659,31 @@
     local_ids = itertools.count(1)
 
     def serve(request: listener.Request) -> None:
+        reservation = buffer_memory.Reservation(context.memory)
+        try:
+            serve_within(request, reservation)
+        finally:
+            reservation.release()
+
+    def serve_within(
+        request: listener.Request, reservation: buffer_memory.Reservation
+    ) -> None:
         path = request.uri.partition(b"?")[0].decode("latin-1")
         try:
-            body = request.read_body()
+            body = request.read_body(reservation.take_for_request)
             head = wire_headers.decode_request(request.header_pairs, path)
         except listener.BodyError as error:
             request.close_connection = True
-            context.metrics.count_refusal("bad_body", error.status)
-            listener.write_response(request, error.status, str(error))
+            is_full = error.status == 503
+            context.metrics.count_refusal(
+                "no_memory" if is_full else "bad_body", error.status
+            )
+            listener.write_response(
+                request,
+                error.status,
+                str(error),
+                retry_after=_MEMORY_RETRY_AFTER if is_full else None,
+            )
             return
         except exceptions.DecodeError as error:
             request.close_connection = True
@@ -603,6 +715,7 @@
                 outgoing_request,
                 active_request,
                 context,
+                reservation,
                 bool(head.prompt_parts),
             ).run()
         finally:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -51,3 +51,25 @@
     monkeypatch.setattr(http_client, "MAX_RESPONSE_BYTES", 2000)
     with pytest.raises(exceptions.PlatformError):
         _fetch(data)
+
+
+@pytest.mark.parametrize("size", [900, 1100])
+def test_response_beyond_the_limit_of_its_connection_fails(size):
+    """Guards against a target whose report does not end.
+
+    Many reports are read at the same time.
+    """
+    with stubs.run_http_server(
+        lambda method, path, body, headers: (200, bytes(size))
+    ) as address:
+        connection = http_client.Connection(
+            f"http://{address}", max_response_bytes=1000
+        )
+        if size < 1000:
+            response = connection.call(
+                "GET", "/", datetime.timedelta(seconds=5)
+            )
+            assert response.data == bytes(size)
+            return
+        with pytest.raises(exceptions.InvalidResponseError):
+            connection.call("GET", "/", datetime.timedelta(seconds=5))
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -65,7 +65,7 @@
     )
     try:
         response, _ = client.send_request(connection, request, action, attempt)
-        return client.read_response(response, action, attempt)
+        return b"".join(client.iterate_body(response, action, attempt))
     finally:
         attempt.detach()
         connection.close()
