--- a/tests/faulty_site.py
+++ b/tests/faulty_site.py
@@ -58,15 +58,17 @@
 
 
 @contextlib.contextmanager
-def run_instance(site, directory):
-    """Runs an instance."""
+def run_instance(site, directory, retry_slack=10_000):
+    """Runs an instance.
+
+    The tests make more retries together than callers of a deployment may.
+    """
     cluster = local_cluster.LocalCluster(
         directory, str(site.store.server.address), ["zone-a"]
     )
-    # The tests make more retries together than callers of a deployment may.
     path = cluster.instances[0].settings_path
     settings = json.loads(path.read_text())
-    path.write_text(json.dumps({**settings, "retry_slack": 10_000}))
+    path.write_text(json.dumps({**settings, "retry_slack": retry_slack}))
     cluster.start_all()
     try:
         yield cluster.instances[0]
