Count targets that ended under a request among its attempts

A request that ends each target that starts it was sent on and on: targets that have left the registry were not counted among its attempts. Those that ended before any response now are.

test_a_request_that_ends_its_targets_is_not_sent_on_and_on failed before on both kinds of routes.

--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -134,6 +134,8 @@
     wait_estimate: dict[str, Any] = dataclasses.field(default_factory=dict)
     may_have_run_on: set[ids.TargetId] = dataclasses.field(default_factory=set)
     avoided_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    # Targets whose connection was lost before any response.
+    lost_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     failures: list[requests.Failure] = dataclasses.field(default_factory=list)
     suspected_parts: frozenset[ids.PromptPart] = frozenset()
     held_since: datetime.timedelta = _ZERO
@@ -1182,6 +1184,11 @@
         if request.response_started or event.last_event_id:
             # Empty if the last event that was passed on has no id.
             request.last_event_id = event.last_event_id
+        if (
+            event.failure is requests.Failure.CONNECTION_LOST
+            and not request.response_started
+        ):
+            request.lost_targets.add(target.target)
         self._log_failure(request, target, event, now)
         self._record_failure(request, target, event, now)
         actions = self._record_lost_target(request, target, event, now)
@@ -1304,9 +1311,14 @@
         return self._dispatch(request, now)
 
     def _count_attempts_used(self, request: _Request) -> int:
-        """Counts the registered targets that may have run a request."""
+        """Counts the targets that may have run a request.
+
+        Targets that have left are not counted, unless they may have ended
+        under this request: it could end one target after the other.
+        """
         return sum(
-            self._fleet.directory.get(target) is not None
+            target in request.lost_targets
+            or self._fleet.directory.get(target) is not None
             for target in request.may_have_run_on
         )
 
--- a/tests/test_core_gateway.py
+++ b/tests/test_core_gateway.py
@@ -594,3 +594,31 @@
     assert len(actions) == bool(last_event_id)
     harness.handle_event(requests.AttemptResumed(harness.local_id))
     assert harness.advance(samples.seconds(1)) == []
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/live/1"])
+def test_a_request_that_ends_its_targets_is_not_sent_on_and_on(path):
+    """Guards against a single request that ends one target after the other.
+
+    Each target that it reaches ends before any response and leaves the
+    registry, so it would never run out of attempts.
+    """
+    service = samples.PLAIN_SERVICE if path == "/look/1" else None
+    entries = [
+        samples.make_target(
+            f"t{number}",
+            service or samples.ENGINE_SERVICE,
+            slots=48,
+            models=[] if service else ["m0"],
+        )
+        for number in range(8)
+    ]
+    harness = samples.GatewayHarness(entries)
+    (action,) = harness.submit(path, model=None if service else "m0")
+    send_count = 0
+    while isinstance(action, requests.Send):
+        send_count += 1
+        harness.update_registry(removed=[action.target])
+        (action,) = harness.fail_attempt(Failure.CONNECTION_LOST)
+    assert send_count == 2
+    assert (action.status, action.may_have_run) == (502, True)
