Recognize a request that crashes targets when it is repeated

The last part, which belongs to the request, is now blamed too; it is no excuse for the shared parts.

--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -171,6 +171,7 @@
     local_id: int
     target: targets.Description
     parts: tuple[ids.PromptPart, ...]
+    own_part: ids.PromptPart | None
     model: str
     trial_parts: frozenset[ids.PromptPart]
     lost_at: datetime.timedelta
@@ -399,7 +400,7 @@
                     model,
                     request.suspected_parts,
                     self._quarantine.count_unproven(
-                        request.head.prompt_parts, model, now
+                        request.head.all_parts, model, now
                     ),
                 )
             )
@@ -479,7 +480,7 @@
             spec = self._find_model(request)
             if spec is None:
                 return self._refuse(request, "unknown_model", None, now)
-        if head.prompt_parts:
+        if head.all_parts:
             refusal = self._refuse_if_quarantined(request, now)
             if refusal is not None:
                 return refusal
@@ -568,7 +569,7 @@
         self, request: _Request, now: datetime.timedelta
     ) -> list[requests.Action]:
         """Assigns a request to a target, queues it or refuses it."""
-        if request.head.prompt_parts:
+        if request.head.all_parts:
             outcome = self._hold_if_suspected(request, now)
             if outcome is not None:
                 return outcome
@@ -1118,7 +1119,7 @@
     def _are_parts_clear(
         self, request: _Request, now: datetime.timedelta
     ) -> bool:
-        return not request.head.prompt_parts or (
+        return not request.head.all_parts or (
             self._assess(request, now).status is prompt_quarantine.Status.CLEAR
         )
 
@@ -1289,7 +1290,7 @@
                 request.not_before = now + REJECTION_BACKOFF
                 request.avoided_targets.discard(target.target)
             return self._dispatch(request, now)
-        if request.head.prompt_parts:
+        if request.head.all_parts:
             assessment = self._assess(request, now)
             if assessment.status is not prompt_quarantine.Status.CLEAR:
                 request.suspected_parts = assessment.parts
@@ -1389,7 +1390,7 @@
         self, request: _Request, now: datetime.timedelta
     ) -> prompt_quarantine.Assessment:
         return self._quarantine.assess(
-            request.head.prompt_parts, request.head.model or "", now
+            request.head.all_parts, request.head.model or "", now
         )
 
     def _refuse_if_quarantined(
@@ -1495,11 +1496,11 @@
         self, request: _Request, now: datetime.timedelta
     ) -> list[requests.Action]:
         """Records that a response to a request has begun."""
-        if not request.head.prompt_parts:
+        if not request.head.all_parts:
             return []
         self._end_trial(request)
         self._quarantine.record_response(
-            request.head.prompt_parts, request.head.model or "", now
+            request.head.all_parts, request.head.model or "", now
         )
         return self._reassess_requests(now)
 
@@ -1513,7 +1514,7 @@
         """Blames the parts of a request if its target ended under it."""
         if (
             event.failure is not requests.Failure.CONNECTION_LOST
-            or not request.head.prompt_parts
+            or not request.head.all_parts
             or request.has_response_data
             or request.last_event_id
             or self._is_planned_end(target)
@@ -1522,7 +1523,8 @@
         attempt = _LostAttempt(
             request.local_id,
             target,
-            request.head.prompt_parts,
+            request.head.all_parts,
+            request.head.own_part,
             request.head.model or "",
             request.trial_parts,
             now,
@@ -1557,6 +1559,7 @@
             attempt.trial_parts,
             now,
             attempt.lost_at,
+            attempt.own_part,
         )
 
     def _check_lost_attempts(
@@ -1601,7 +1604,7 @@
         self._assessed_revision = self._quarantine.revision
         actions: list[requests.Action] = []
         for request in list(self._requests.values()):
-            if not request.head.prompt_parts:
+            if not request.head.all_parts:
                 continue
             if request.phase is _Phase.HELD:
                 actions += self._release_held_request(request, now)
--- a/src/quetzalgauge/core/prompt_quarantine.py
+++ b/src/quetzalgauge/core/prompt_quarantine.py
@@ -1,10 +1,12 @@
 """Quarantine of prompt parts that crash targets.
 
 A part of a prompt can crash every target that begins to write a response on
-it, whatever else the request has. Each instance records the targets that ended
-under a request without any response, and blames the parts of that request. All
-instances exchange and merge this evidence, in any order and any number of
-times. A response that begins acquits the parts of its request.
+it, whatever else the request has. A single request can do so too; it is known
+by its own part, which its callers send again when they repeat it. Each instance
+records the targets that ended under a request without any response, and blames
+the parts of that request. All instances exchange and merge this evidence, in
+any order and any number of times. A response that begins acquits the parts of
+its request.
 
 Requests with a suspected part are tried one at a time in the whole fleet, see
 `prompt_trials`. Those with a quarantined part are refused.
@@ -277,9 +279,13 @@
         trial_parts: frozenset[ids.PromptPart],
         now: datetime.timedelta,
         ended_at: datetime.timedelta | None = None,
+        own_part: ids.PromptPart | None = None,
     ) -> bool:
         """Blames the parts of a request for the end of its target.
 
+        The part that belongs to the request alone is no excuse for those that
+        it shares with other requests.
+
         Args:
             parts: The parts of the request.
             model: Its base model, or empty.
@@ -289,6 +295,7 @@
                 empty if it was none.
             now: The current time.
             ended_at: When the target ended, now by default.
+            own_part: The part that no other request has, or None.
 
         Returns:
             Whether this changed the evidence.
@@ -302,7 +309,7 @@
             end = _End(
                 now if ended_at is None else ended_at,
                 part in trial_parts,
-                blamed - {part},
+                blamed - {part, own_part},
             )
             record = self._get_record(part, model)
             self._set_record(
--- a/src/quetzalgauge/core/requests.py
+++ b/src/quetzalgauge/core/requests.py
@@ -27,8 +27,9 @@
         prompt_tokens: Number of tokens in the prompt.
         max_output_tokens: Maximum number of tokens in the output.
         last_event_id: Id of the last event that the caller received, or empty.
-        prompt_parts: Ids of the prompt's parts without the last one, which
-            belongs to this request or its session.
+        prompt_parts: Ids of the prompt's parts without the last one.
+        own_part: Id of the last part, which belongs to this request or its
+            session. A caller that repeats the request sends it again.
     """
 
     request_id: ids.RequestId
@@ -41,6 +42,14 @@
     max_output_tokens: int = 0
     last_event_id: str = ""
     prompt_parts: tuple[ids.PromptPart, ...] = ()
+    own_part: ids.PromptPart | None = None
+
+    @property
+    def all_parts(self) -> tuple[ids.PromptPart, ...]:
+        """The ids of all parts, beginning with the request's own one."""
+        if self.own_part is None:
+            return self.prompt_parts
+        return (self.own_part, *self.prompt_parts)
 
 
 class Failure(enum.Enum):
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -716,7 +716,7 @@
                 active_request,
                 context,
                 reservation,
-                bool(head.prompt_parts),
+                bool(head.all_parts),
             ).run()
         finally:
             context.watcher.remove(sock)
--- a/src/quetzalgauge/platform/headers.py
+++ b/src/quetzalgauge/platform/headers.py
@@ -142,7 +142,7 @@
         output_tokens,
         values.get(_LAST_EVENT_ID.lower(), ""),
         # A list may be split into several lines.
-        _parse_prompt_parts(",".join(prompt_parts)),
+        *_parse_prompt_parts(",".join(prompt_parts)),
     )
 
 
@@ -164,24 +164,26 @@
     return 0, 0
 
 
-def _parse_prompt_parts(value: str) -> tuple[ids.PromptPart, ...]:
-    """Returns the ids of a prompt's parts without the last one.
+def _parse_prompt_parts(
+    value: str,
+) -> tuple[tuple[ids.PromptPart, ...], ids.PromptPart | None]:
+    """Returns the ids of a prompt's parts: those before the last, and the last.
 
-    The last one belongs to the request or its session. A malformed value has
-    no parts, which is no error: targets judge the header themselves.
+    A malformed value has no parts, which is no error: targets judge the header
+    themselves.
     """
     if not value:
-        return ()
+        return (), None
     parts: dict[ids.PromptPart, None] = {}
-    items = value.split(",")
-    for item in items:
+    last = None
+    for item in value.split(","):
         match = _PROMPT_PART_PATTERN.match(item.strip())
         if match is None:
-            return ()
+            return (), None
+        last = ids.PromptPart(match[1].lower())
         if len(parts) < prompt_quarantine.MAX_PARTS_PER_REQUEST:
-            parts[ids.PromptPart(match[1].lower())] = None
-    last = items[-1].strip().partition(":")[0].lower()
-    return tuple(part for part in parts if part != last)
+            parts[last] = None
+    return tuple(part for part in parts if part != last), last
 
 
 def filter_request_headers(headers: Headers) -> Iterator[tuple[str, str]]:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -84,6 +84,9 @@
     """Guards against blame for the part that belongs to the session."""
     head = headers.decode_request([("Prompt-Prefix", value)], "/a")
     assert head.prompt_parts == parts
+    last = value.rpartition(",")[2].partition(":")[0]
+    is_valid = bool(parts) or value == "e4402b7d:250"
+    assert head.own_part == (last if is_valid else None)
     forwarded = headers.filter_request_headers([("Prompt-Prefix", value)])
     assert list(forwarded) == [("Prompt-Prefix", value)]
 
