--- a/tests/test_buffer_memory.py
+++ b/tests/test_buffer_memory.py
@@ -126,6 +126,42 @@
     assert read_peak_mb(instance) < MEMORY_MB
 
 
+FRAMINGS = {
+    "length": lambda body: ({"Content_Length": len(body)}, [body]),
+    "chunks": lambda body: (
+        {"Transfer_Encoding": "chunked"},
+        [faulty_target.make_chunk(body), faulty_target.make_chunk(b"")],
+    ),
+    "unframed": lambda body: ({"Connection": "close"}, [body, None]),
+}
+
+
+@pytest.mark.process
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_large_response_is_passed_on_whole(instance, targets, framing):
+    """Guards against a sound response that is cut since it is large.
+
+    It is larger than what a single response may take of the memory.
+    """
+    body = LARGE_BODY * 3
+    headers, items = FRAMINGS[framing](body)
+
+    def script(request):
+        yield faulty_target.make_head(request.request_id, 200, **headers)
+        yield from items
+
+    sound = [target for target in targets if target.name.startswith("sound")]
+    original = sound[0].script
+    for target in sound:
+        target.script = script
+    for path in ("ask", "once"):
+        request_id = faulty_site.make_request_id()
+        response = faulty_site.fetch(instance, f"/{path}/sound/1", request_id)
+        assert response == (200, body, True)
+    for target in sound:
+        target.script = original
+
+
 def test_memory_is_shared_and_returned():
     """Guards against memory that is taken twice, or never given back."""
     memory = buffer_memory.BufferMemory(8000)
