Give a thread to a connection only when something is received on it

Callers waited for up to 5.5 s beside 120 connections on which nothing was sent. A thread waited for the first bytes of each new connection, and the number of threads grew only when a request had been read.

A new connection now waits without a thread, and threads that read count as busy. test_callers_are_served_beside_connections_that_send_nothing failed before in three of four cases. test_thread_failures checks the counters of connections, as those of requests are gone.

--- a/src/quetzalgauge/node/listener.py
+++ b/src/quetzalgauge/node/listener.py
@@ -8,7 +8,6 @@
 import contextlib
 import datetime
 import http.client
-import itertools
 import re
 import socket
 import struct
@@ -24,8 +23,8 @@
 
 BACKLOG = 1024
 MAX_KEEP_ALIVE_CONNECTIONS = 3000
-# The pool starts with this many threads. It grows by up to `SPARE_THREADS`
-# whenever fewer than that are idle.
+# The pool starts with this many threads. It grows whenever fewer
+# than `SPARE_THREADS` are idle. A thread that reads a request is not idle.
 INITIAL_THREADS = 24
 SPARE_THREADS = 8
 # A caller may pause for this long while it receives a response.
@@ -246,6 +245,7 @@
     """A connection of a caller.
 
     Attributes:
+        is_new: Whether nothing has been received on it yet.
         must_reset: Whether to reset the connection instead of closing it.
     """
 
@@ -254,6 +254,7 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._has_begun = False
+        self.is_new = True
         self.must_reset = False
 
     def begin_request(self) -> None:
@@ -272,6 +273,7 @@
     def communicate(self) -> bool:
         """Reads and handles a request; returns whether to keep it open."""
         try:
+            self.server.grow_thread_pool()
             keeps_open: bool = super().communicate()
         finally:
             self.server.finish_connection(self._has_begun)
@@ -313,10 +315,7 @@
         self.count_invalid = count_invalid
         self._handle_request = handle_request
         self._max_threads = max_threads
-        self._started_counter = itertools.count()
-        self._finished_counter = itertools.count()
-        self._started_count = 0
-        self._finished_count = 0
+        self._grow_lock = threading.Lock()
         self._is_closed = False
         self._open_count = 0
         self._request_count = 0
@@ -352,7 +351,14 @@
             )
 
     def process_conn(self, conn: Any) -> None:
-        """Passes a connection that has data, or a new one, to a worker."""
+        """Passes a connection that has data to a worker.
+
+        A new connection has none yet. No thread waits for it.
+        """
+        if conn.is_new:
+            conn.is_new = False
+            self.put_conn(conn)
+            return
         with self._condition:
             if not self._is_closed:
                 self._open_count += 1
@@ -385,22 +391,22 @@
         self.timeout = int(idle_seconds + IDLE_TIMEOUT_MARGIN_SECONDS)
 
     def serve_request(self, request: Request) -> None:
-        """Handles a request and keeps spare threads for the next ones."""
-        self._started_count = next(self._started_counter) + 1
+        """Handles a request."""
         try:
-            self._grow_thread_pool()
             self._handle_request(request)
         finally:
-            self._finished_count = next(self._finished_counter) + 1
             with contextlib.suppress(OSError):
                 request.conn.socket.settimeout(self.timeout)
 
-    def _grow_thread_pool(self) -> None:
-        busy_count = self._started_count - self._finished_count
-        size = len(self.requests._threads)
-        if size - busy_count < SPARE_THREADS and size < self._max_threads:
+    def grow_thread_pool(self) -> None:
+        """Keeps spare threads for the connections that have data next."""
+        with self._grow_lock:
+            wanted = min(self._open_count + SPARE_THREADS, self._max_threads)
+            missing = wanted - len(self.requests._threads)
+            if missing <= 0:
+                return
             try:
-                self.requests.grow(min(SPARE_THREADS, self._max_threads - size))
+                self.requests.grow(max(missing, SPARE_THREADS))
             except RuntimeError as error:
                 # This thread can still serve its request.
                 _log.error("no more threads: %s", error)
