Let no thread wait while others are added to the pool

Each thread that began to read waited for the one that added threads. Only that one waits now, and looks again before it is done.

test_callers_are_served_beside_connections_that_send_nothing passes beside eight busy processes.

--- a/src/quetzalgauge/node/listener.py
+++ b/src/quetzalgauge/node/listener.py
@@ -23,8 +23,8 @@
 
 BACKLOG = 1024
 MAX_KEEP_ALIVE_CONNECTIONS = 3000
-# The pool starts with this many threads. It grows whenever fewer
-# than `SPARE_THREADS` are idle. A thread that reads a request is not idle.
+# The pool starts with this many threads. It grows whenever fewer than
+# `SPARE_THREADS` are idle. A thread that reads a request is not idle.
 INITIAL_THREADS = 24
 SPARE_THREADS = 8
 # A caller may pause for this long while it receives a response.
@@ -400,16 +400,21 @@
 
     def grow_thread_pool(self) -> None:
         """Keeps spare threads for the connections that have data next."""
-        with self._grow_lock:
-            wanted = min(self._open_count + SPARE_THREADS, self._max_threads)
-            missing = wanted - len(self.requests._threads)
-            if missing <= 0:
-                return
-            try:
+        # The thread that adds threads looks again before it releases the lock.
+        if not self._grow_lock.acquire(blocking=False):
+            return
+        try:
+            while (missing := self._count_missing_threads()) > 0:
                 self.requests.grow(max(missing, SPARE_THREADS))
-            except RuntimeError as error:
-                # This thread can still serve its request.
-                _log.error("no more threads: %s", error)
+        except RuntimeError as error:
+            # This thread can still serve its request.
+            _log.error("no more threads: %s", error)
+        finally:
+            self._grow_lock.release()
+
+    def _count_missing_threads(self) -> int:
+        wanted = min(self._open_count + SPARE_THREADS, self._max_threads)
+        return wanted - len(self.requests._threads)
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
