Wait in tests until the instance knows with how many others it retries

test_broken_response_is_not_passed_on failed once in a full run: a request was not sent again. An instance that has not heard a leader has no part of the fixed number of retries, and the test began before that. It now begins when the instance has heard one; what it checks is the same.

--- a/tests/faulty_site.py
+++ b/tests/faulty_site.py
@@ -71,6 +71,8 @@
     path.write_text(json.dumps({**settings, "retry_slack": retry_slack}))
     cluster.start_all()
     try:
+        # Until it has heard a leader, it makes few retries.
+        wait_for(lambda: cluster.instances[0].dump()["boards"])
         yield cluster.instances[0]
     finally:
         cluster.kill_all()
