Log the time that a request was allowed and the version at its end

The last line of a request told the version under which it arrived, not the one in force at its end, nor its deadline. So a request that was ended at the timeout of a superseded version could not be told from one that was ended at its caller's own limit.

`deadline_ms` and `configuration_at_end` are new fields of the line `request`. `allowed_ms` was taken: it is the time until the latest start.

--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -2027,7 +2027,15 @@
                     "longest_gap_ms": _to_milliseconds(request.longest_gap),
                     "parts": sorted(request.suspected_parts),
                     "took_ms": _to_milliseconds(now - request.arrived_at),
+                    "deadline_ms": _to_milliseconds(
+                        request.deadline - request.arrived_at
+                    ),
                     "configuration": request.config_version,
+                    "configuration_at_end": (
+                        self._configuration.version
+                        if self._configuration
+                        else None
+                    ),
                     **(
                         request.wait_estimate
                         if reason in _REASONS_WITH_ESTIMATE
--- a/tests/core_samples.py
+++ b/tests/core_samples.py
@@ -174,9 +174,12 @@
             ZONE,
             random.Random(1),
         )
-        self.gateway.configure(config or make_configuration())
+        self.configure(config or make_configuration())
         self.local_id = 0
 
+    def configure(self, config):
+        return self.gateway.configure(config)
+
     def submit(self, *args, **head_options):
         self.local_id += 1
         head = make_head(*args, **head_options)
