--- a/tests/test_core_changes.py
+++ b/tests/test_core_changes.py
@@ -1,6 +1,7 @@
 """Tests what a new configuration changes for requests in progress."""
 
 import core_samples as samples
+import pytest
 
 
 def make_configuration(version, **route_options):
@@ -38,3 +39,106 @@
     assert fields["deadline_ms"] == 1500.0
     assert fields["configuration"] == 1
     assert fields["configuration_at_end"] == 2
+
+
+def make_harness(*target_names, slots=6, **route_options):
+    """Returns a harness with targets of the service of `make_configuration`."""
+    return samples.GatewayHarness(
+        [samples.make_target(name, slots=slots) for name in target_names],
+        config=make_configuration(1, **route_options),
+    )
+
+
+def advance(harness, duration):
+    """Advances the clock in steps; returns the actions but for `Send`."""
+    end = harness.now + samples.seconds(duration)
+    actions = []
+    while harness.now < end:
+        actions += harness.advance(min(samples.ms(50), end - harness.now))
+    return [
+        action
+        for action in actions
+        if not isinstance(action, samples.requests.Send)
+    ]
+
+
+@pytest.mark.parametrize("kind", samples.configuration.RouteKind)
+def test_a_sent_request_gets_the_longer_timeout(kind):
+    """Guards against requests canceled at the timeout of an older version."""
+    harness = make_harness("p0", kind=kind)
+    harness.submit("/look/1")
+    advance(harness, 0.6)
+    harness.configure(make_configuration(2, kind=kind, timeout=6.0))
+    assert advance(harness, 5.3) == []
+    (cancellation,) = advance(harness, 0.2)
+    assert cancellation.failure is samples.requests.Failure.DEADLINE_EXCEEDED
+
+
+def test_a_queued_request_gets_the_longer_timeout():
+    """Guards against requests refused at the timeout of an older version."""
+    harness = make_harness("p0", slots=0)
+    harness.submit("/look/1", timeout=samples.seconds(9))
+    assert harness.submit("/look/1") == []
+    advance(harness, 0.6)
+    harness.configure(make_configuration(2, timeout=6.0))
+    assert advance(harness, 5.3) == []
+    (refusal,) = samples.filter_by_type(
+        advance(harness, 0.2), samples.requests.Refuse
+    )
+    assert (refusal.local_id, refusal.status) == (2, 503)
+
+
+def test_a_caller_is_not_kept_longer_than_it_waits():
+    """Guards against work for callers that have left."""
+    harness = make_harness("p0")
+    harness.submit("/look/1", timeout=samples.seconds(2))
+    harness.configure(make_configuration(2, timeout=6.0))
+    assert advance(harness, 1.9) == []
+    (cancellation,) = advance(harness, 0.2)
+    assert cancellation.failure is samples.requests.Failure.DEADLINE_EXCEEDED
+
+
+def test_the_longest_of_several_timeouts_holds():
+    """Guards against requests that a series of versions cuts off."""
+    harness = make_harness("p0")
+    harness.submit("/look/1")
+    for version, timeout in enumerate((1.0, 6.0, 2.0, 0.5), 2):
+        harness.configure(make_configuration(version, timeout=timeout))
+        assert advance(harness, 0.2) == []
+    assert advance(harness, 5.1) == []
+    assert len(advance(harness, 0.2)) == 1
+
+
+def test_a_lowered_timeout_ends_no_request():
+    """Guards against requests cut off at a timeout that came after them."""
+    harness = make_harness("p0")
+    harness.submit("/look/1")
+    harness.configure(make_configuration(2, timeout=0.5))
+    assert advance(harness, 1.4) == []
+    assert len(advance(harness, 0.2)) == 1
+
+
+OTHER_ROUTES = {
+    "removed": {"prefix": "/other/"},
+    "moved": {"service": samples.ENGINE_SERVICE},
+    "of another kind": {"kind": samples.configuration.RouteKind.UNSAFE},
+}
+
+
+@pytest.mark.parametrize("options", OTHER_ROUTES.values(), ids=OTHER_ROUTES)
+def test_another_route_leaves_a_request_as_it_was(options):
+    """Guards against requests judged by a route that is not theirs."""
+    harness = make_harness("p0")
+    harness.submit("/look/1")
+    harness.configure(make_configuration(2, timeout=6.0, **options))
+    assert advance(harness, 1.4) == []
+    assert len(advance(harness, 0.2)) == 1
+
+
+def test_a_repeated_attempt_gets_the_longer_timeout():
+    """Guards against a retry that is cut off at an older timeout."""
+    harness = make_harness("p0", "p1")
+    harness.submit("/look/1")
+    harness.configure(make_configuration(2, timeout=6.0))
+    (send,) = harness.fail_attempt(samples.requests.Failure.CONNECTION_LOST)
+    assert send.deadline == harness.now + samples.seconds(6)
