Let requests in progress have the longest timeout of their versions

Callers saw plain requests end with 504 and streams cut off, with events still coming, at the timeout of a version that was no longer in force: 1.5 s after their arrival, though their caller and the version since then allowed 6 s.

Cause: a request keeps its route from its arrival, and with it its deadline, the time by which it must have started, and the deadline of its attempts.

`Gateway.configure` now looks up the route of each request in progress and takes the longer timeout, never more than the caller's own limit. A route that was removed, serves by other services or is of another kind leaves the request as it was. A thread may be blocked in a read with a socket timeout of the older deadline: it looks for a later one only when that has passed, so that no read blocks for longer than the attempts beside it expect. An attempt that may take until the deadline isn't silent at the older one.

--- a/src/quetzalgauge/core/configuration.py
+++ b/src/quetzalgauge/core/configuration.py
@@ -130,6 +130,21 @@
     idle_timeout: datetime.timedelta = datetime.timedelta(seconds=15)
 
 
+def adapt_route(route: Route, newer: Route) -> Route:
+    """Returns the route of a request in progress under a newer version.
+
+    The request may have been promised what the older version allowed, and the
+    newer one may allow more.
+
+    Args:
+        route: The route of the request so far.
+        newer: The route that its host and path now select, of the same kind.
+    """
+    if newer == route:
+        return route
+    return dataclasses.replace(route, timeout=max(route.timeout, newer.timeout))
+
+
 class Configuration:
     """One version of the configuration."""
 
--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -302,9 +302,51 @@
                 limits.retry_ratio, limits.retry_slack, limits.retry_window
             )
 
-    def configure(self, config: configuration.Configuration) -> None:
-        """Sets the configuration of requests that arrive from now on."""
+    def configure(
+        self, config: configuration.Configuration
+    ) -> list[requests.Action]:
+        """Sets the configuration of requests that arrive from now on.
+
+        Those in progress go on by the more generous one of the versions that
+        were in force meanwhile. A route that has moved to other services, or
+        is of another kind, does not concern them.
+        """
         self._configuration = config
+        actions: list[requests.Action] = []
+        for request in self._requests.values():
+            if request.phase is _Phase.FINISHED:
+                continue
+            newer = config.find_route(request.head.host, request.head.path)
+            if (
+                newer is None
+                or newer.kind is not request.route.kind
+                or request.queue_key[0]
+                not in (backend.service for backend in newer.backends)
+            ):
+                continue
+            route = configuration.adapt_route(request.route, newer)
+            if route != request.route:
+                request.route = route
+                actions += self._adapt_to_route(request)
+        return actions
+
+    def _adapt_to_route(self, request: _Request) -> list[requests.Action]:
+        """Derives anew what follows from the route of a request."""
+        old_deadline = request.deadline
+        request.deadline = timeouts.request_deadline(
+            request.route, request.head, request.arrived_at
+        )
+        request.start_deadline = timeouts.start_deadline(
+            request.route, request.waits_since, request.deadline
+        )
+        if request.silent_from == old_deadline:
+            # Its attempt may take until the deadline.
+            request.silent_from = request.deadline
+        if request.phase is _Phase.SENT:
+            return [requests.ExtendDeadline(request.local_id, request.deadline)]
+        # The refusal for which it has a timer may be too early.
+        self._wake_for_refusal(request)
+        return []
 
     def handle_event(
         self, event: requests.Event, now: datetime.timedelta
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -522,7 +522,7 @@
         if self._config is not None and config.version <= self._config.version:
             return []
         self._config = config
-        self._gateway.configure(config)
+        actions: list[Action] = list(self._gateway.configure(config))
         self._log_events.append(
             log_events.LogEvent(
                 "configuration",
@@ -534,10 +534,10 @@
             )
         )
         if self._leader is None:
-            return []
+            return actions
         self._leader.configure(config)
         self._leader.sync_targets(now)
-        return self._run_leader(now)
+        return actions + self._run_leader(now)
 
     def _apply_target_changes(
         self, changes: list[log_events.LogEvent], now: datetime.timedelta
--- a/src/quetzalgauge/core/requests.py
+++ b/src/quetzalgauge/core/requests.py
@@ -299,4 +299,19 @@
     failure: Failure
 
 
-Action: TypeAlias = Send | Relay | Refuse | Abort | CancelAttempt
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExtendDeadline:
+    """Give the attempts in progress more time than their `Send` did.
+
+    Attributes:
+        local_id: The request.
+        deadline: Time by which the whole response is due.
+    """
+
+    local_id: int
+    deadline: datetime.timedelta
+
+
+Action: TypeAlias = (
+    Send | Relay | Refuse | Abort | CancelAttempt | ExtendDeadline
+)
--- a/src/quetzalgauge/node/connections.py
+++ b/src/quetzalgauge/node/connections.py
@@ -1,6 +1,7 @@
 """Connections to targets: cancelable attempts and a connection pool."""
 
 import contextlib
+import datetime
 import socket
 import threading
 import time
@@ -66,9 +67,14 @@
 
 
 class Attempt:
-    """The socket of an attempt, which lets another thread cancel it."""
+    """Lets another thread cancel an attempt or give it more time.
 
-    def __init__(self) -> None:
+    Args:
+        deadline: When the attempt ends at the latest, on the process clock.
+    """
+
+    def __init__(self, deadline: datetime.timedelta) -> None:
+        self._deadline = deadline
         self._lock = threading.Lock()
         self._sock: socket.socket | None = None
         self._cancel_reason: Any = None
@@ -78,6 +84,19 @@
         """The failure with which the attempt was canceled, or None."""
         return self._cancel_reason
 
+    @property
+    def deadline(self) -> datetime.timedelta:
+        """When the attempt ends at the latest, on the process clock."""
+        return self._deadline
+
+    def extend(self, deadline: datetime.timedelta) -> None:
+        """Gives the attempt time until a later deadline.
+
+        A blocked read still returns at the earlier one and goes on then. Only
+        one thread calls this.
+        """
+        self._deadline = max(self._deadline, deadline)
+
     def attach(self, connection: Connection) -> None:
         """Attaches the socket of a connection.
 
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -423,6 +423,10 @@
                 active_request = self._active_requests.get(action.local_id)
                 if active_request is not None:
                     active_request.cancel(action.failure)
+            case requests.ExtendDeadline():
+                active_request = self._active_requests.get(action.local_id)
+                if active_request is not None:
+                    active_request.extend(action.deadline)
             case (
                 requests.Send()
                 | requests.Relay()
--- a/src/quetzalgauge/node/read_timer.py
+++ b/src/quetzalgauge/node/read_timer.py
@@ -13,7 +13,7 @@
 
     Args:
         now: The clock.
-        deadline: When reads time out.
+        get_deadline: Returns when reads time out; it may become later.
         silent_at: When the target counts as silent, unless `restart` is called
             before.
         silence_timeout: Time from `restart` until it counts as silent.
@@ -23,13 +23,14 @@
     def __init__(
         self,
         now: clock.Clock,
-        deadline: float,
+        get_deadline: Callable[[], float],
         silent_at: float = math.inf,
         silence_timeout: float = math.inf,
         on_silent: Callable[[], None] | None = None,
     ) -> None:
         self._now = now
-        self._deadline = deadline
+        self._get_deadline = get_deadline
+        self._deadline = get_deadline()
         self._silent_at = silent_at
         self._silence_timeout = silence_timeout
         self._on_silent = on_silent
@@ -64,6 +65,10 @@
         Raises:
             TimeoutError: The deadline has passed.
         """
+        if self._read_clock() >= self._deadline:
+            # Only here, so that no read blocks for longer than `read_deadline`
+            # has told.
+            self._deadline = self._get_deadline()
         if self._read_clock() >= self._deadline:
             raise TimeoutError
         self.check()
--- a/src/quetzalgauge/node/upstream.py
+++ b/src/quetzalgauge/node/upstream.py
@@ -301,7 +301,7 @@
             if idle is not None:
                 return idle, True
         host, _, port = action.address.rpartition(":")
-        remaining = self._get_remaining_seconds(action.deadline.total_seconds())
+        remaining = (attempt.deadline - self._now()).total_seconds()
         connection = connections.Connection(
             host,
             int(port),
@@ -349,7 +349,7 @@
         ]
         if not any(name.lower() == "host" for name, _ in headers):
             headers.append(("Host", action.address))
-        with self._translate_errors(attempt, action):
+        with self._translate_errors(attempt):
             response = yield from _exchange_heads(
                 connection, request, headers, timer
             )
@@ -384,7 +384,6 @@
         self,
         response: Response,
         timer: read_timer.ReadTimer,
-        action: requests.Send,
         attempt: connections.Attempt,
     ) -> Exchange[bytes]:
         """Returns the next bytes of a body; empty at its proper end.
@@ -392,21 +391,19 @@
         Args:
             response: The response.
             timer: Times the reads.
-            action: The action that started the attempt.
             attempt: The attempt.
 
         Raises:
             connections.AttemptError: The read timed out, the connection was
                 lost, the response is malformed or the attempt was canceled.
         """
-        with self._translate_errors(attempt, action):
+        with self._translate_errors(attempt):
             return (yield from response.read_chunk(timer))
 
     def open_body(
         self,
         response: Response,
         timer: read_timer.ReadTimer,
-        action: requests.Send,
         attempt: connections.Attempt,
         max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> BodyReader:
@@ -416,7 +413,7 @@
         """
         return BodyReader(
             response,
-            lambda: self.read_chunk(response, timer, action, attempt),
+            lambda: self.read_chunk(response, timer, attempt),
             max_bytes,
         )
 
@@ -460,9 +457,7 @@
         Raises:
             connections.AttemptError: As for `BodyReader.read_part`.
         """
-        body = self.open_body(
-            response, timer, action, attempt, MAX_REJECTION_BYTES
-        )
+        body = self.open_body(response, timer, attempt, MAX_REJECTION_BYTES)
         while (yield from body.read_part()):
             pass
         if response.rest and _contains_acceptance(response.rest):
@@ -472,18 +467,13 @@
             )
         self.release_connection(connection, response, action, attempt)
 
-    def _get_remaining_seconds(self, deadline_seconds: float) -> float:
-        return deadline_seconds - self._now().total_seconds()
-
     @contextlib.contextmanager
-    def _translate_errors(
-        self, attempt: connections.Attempt, action: requests.Send
-    ) -> Iterator[None]:
+    def _translate_errors(self, attempt: connections.Attempt) -> Iterator[None]:
         try:
             yield
         except TimeoutError as error:
             failure = requests.Failure.IDLE_TIMEOUT
-            if self._now() >= action.deadline:
+            if self._now() >= attempt.deadline:
                 failure = requests.Failure.DEADLINE_EXCEEDED
             raise connections.AttemptError(
                 attempt.cancel_reason or failure
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -10,6 +10,7 @@
 import datetime
 import itertools
 import json
+import math
 import queue
 import select
 import socket
@@ -53,7 +54,9 @@
         if isinstance(action, requests.Send):
             # Created here rather than by the worker, so that a cancellation
             # right after this action reaches the new attempt.
-            self._attempts[action.attempt] = connections.Attempt()
+            self._attempts[action.attempt] = connections.Attempt(
+                action.deadline
+            )
         self._actions.put(action)
 
     def get(self) -> requests.Action:
@@ -73,6 +76,11 @@
         for attempt in list(self._attempts.values()):
             attempt.cancel(failure)
 
+    def extend(self, deadline: datetime.timedelta) -> None:
+        """Gives all attempts more time, also those that have not begun."""
+        for attempt in list(self._attempts.values()):
+            attempt.extend(deadline)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerContext:
@@ -227,10 +235,14 @@
                 )
             )
             return False
+        handle = self._active_request.get_attempt(action.attempt)
         timer = read_timer.ReadTimer(
             self._context.now,
-            action.deadline.total_seconds(),
-            action.first_byte_deadline.total_seconds(),
+            lambda: handle.deadline.total_seconds(),
+            action.first_byte_deadline.total_seconds()
+            # It may become later.
+            if action.first_byte_deadline < action.deadline
+            else math.inf,
             action.silence_timeout.total_seconds(),
             lambda: self._context.post_event(
                 requests.AttemptStalled(
@@ -238,7 +250,6 @@
                 )
             ),
         )
-        handle = self._active_request.get_attempt(action.attempt)
         running = _RunningAttempt(action, handle, timer)
         running.steps = self._run_attempt(running)
         self._running.append(running)
@@ -405,7 +416,7 @@
         action = running.action
         client = self._context.upstream_client
         parts = []
-        body = client.open_body(response, running.timer, action, running.handle)
+        body = client.open_body(response, running.timer, running.handle)
         while part := (yield from body.read_part()):
             parts.append(part)
             if not self._reservation.take_for_response(len(part)):
@@ -542,7 +553,7 @@
         try:
             while data := (
                 yield from self._context.upstream_client.read_chunk(
-                    response, running.timer, running.action, running.handle
+                    response, running.timer, running.handle
                 )
             ):
                 now = self._context.now().total_seconds()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -54,6 +54,10 @@
         listener.close()
 
 
+def make_attempt():
+    return connections.Attempt(now() + 20 * SECOND)
+
+
 def fetch(address, attempt):
     deadline = now() + 20 * SECOND
     action = requests.Send(
@@ -64,13 +68,13 @@
     connection, _ = client.acquire_connection(
         action, request.request_id, attempt
     )
-    timer = read_timer.ReadTimer(now, deadline.total_seconds())
+    timer = read_timer.ReadTimer(now, deadline.total_seconds)
 
     def exchange():
         response, _ = yield from client.send_request(
             connection, request, action, attempt, timer
         )
-        body = client.open_body(response, timer, action, attempt)
+        body = client.open_body(response, timer, attempt)
         while (yield from body.read_part()):
             pass
 
@@ -100,7 +104,7 @@
     """
     with run_endless_target(start, rest, 0.0) as (address, closed):
         with pytest.raises(connections.AttemptError):
-            fetch(address, connections.Attempt())
+            fetch(address, make_attempt())
         assert closed.wait(5)
 
 
@@ -115,7 +119,7 @@
     Each byte restarts the read timeout, so only the cancellation by the event
     loop at the caller's deadline ends the attempt.
     """
-    attempt = connections.Attempt()
+    attempt = make_attempt()
     with run_endless_target(start, rest, 0.02) as (address, closed):
         timer = threading.Timer(
             0.5, lambda: attempt.cancel(requests.Failure.DEADLINE_EXCEEDED)
@@ -151,5 +155,5 @@
     threading.Thread(target=serve, daemon=True).start()
     host, port = listener.getsockname()
     with listener, pytest.raises(connections.AttemptError) as error:
-        fetch(f"{host}:{port}", connections.Attempt())
+        fetch(f"{host}:{port}", make_attempt())
     assert error.value.failure is requests.Failure.FULL
