Tell targets how long the caller waits, not the timeout of the route

With a timeout raised from 1500 to 6000 ms, safe requests and streams that may not be resumed still failed after 1.5 s: a target stops work at the limit that it was told, which was what was left of the older timeout.

Targets of safe requests and streams are told what is left of their caller's own limit now, which no version changes. At the timeout of the route the instance closes their connections, as before. That ends the work on most targets; one that goes on after a close now works on until its caller's limit. The target of an unsafe request is told the deadline as before, so that its work has ended when its caller gets 504, and so it gets no more time once it was sent.

--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -902,6 +902,9 @@
                 target.target,
                 target.address,
                 request.deadline,
+                timeouts.target_deadline(
+                    route, request.head, request.arrived_at, request.deadline
+                ),
                 first_byte_deadline,
                 timeouts.silence_timeout(
                     route,
--- a/src/quetzalgauge/core/requests.py
+++ b/src/quetzalgauge/core/requests.py
@@ -226,6 +226,7 @@
         target: The target.
         address: IP-ADDRESS:PORT of the target.
         deadline: Time by which the whole response is due, on the core's clock.
+        target_deadline: Time until which the target may work.
         first_byte_deadline: Time by which the first event of the response is
             due; `AttemptStalled` is posted after it.
         silence_timeout: Time without an event after which `AttemptStalled` is
@@ -244,6 +245,7 @@
     target: ids.TargetId
     address: str
     deadline: datetime.timedelta
+    target_deadline: datetime.timedelta
     first_byte_deadline: datetime.timedelta
     silence_timeout: datetime.timedelta
     needs_new_connection: bool
--- a/src/quetzalgauge/core/timeouts.py
+++ b/src/quetzalgauge/core/timeouts.py
@@ -44,6 +44,24 @@
     return arrived_at + timeout
 
 
+def target_deadline(
+    route: configuration.Route,
+    head: requests.Head,
+    arrived_at: datetime.timedelta,
+    deadline: datetime.timedelta,
+) -> datetime.timedelta:
+    """Returns the time until which targets may work on a request.
+
+    They cannot be told of a longer timeout of the route later, so they are told
+    how long the caller waits; this instance closes their connections at the
+    deadline. The work on an unsafe request has to end by the deadline, also
+    where that close does not end it: its caller may act on it then.
+    """
+    if route.kind is configuration.RouteKind.UNSAFE or head.timeout is None:
+        return deadline
+    return arrived_at + head.timeout
+
+
 def caller_idle_timeout(route: configuration.Route) -> datetime.timedelta:
     """Returns the idle time after which callers close a stream."""
     max_gap = route.max_gap or datetime.timedelta()
--- a/src/quetzalgauge/node/upstream.py
+++ b/src/quetzalgauge/node/upstream.py
@@ -340,7 +340,7 @@
         """
         attempt.attach(connection)
         connection.carried_ids.add(request.request_id)
-        remaining = action.deadline - self._now()
+        remaining = action.target_deadline - self._now()
         headers = [
             *request.headers,
             *wire_headers.make_system_headers(
--- a/src/quetzalgauge/platform/headers.py
+++ b/src/quetzalgauge/platform/headers.py
@@ -221,7 +221,7 @@
 
     Args:
         target: The only target that may run the request.
-        time_left: Time until the deadline of the request.
+        time_left: Time in which the target may work on the request.
         resume_after: Id of the last event that the caller received, after
             which the stream resumes, or empty.
         priority: Priority from 0 to 9, where 0 is the most urgent, or None.
--- a/tests/test_core_changes.py
+++ b/tests/test_core_changes.py
@@ -142,3 +142,38 @@
     harness.configure(make_configuration(2, timeout=6.0))
     (send,) = harness.fail_attempt(samples.requests.Failure.CONNECTION_LOST)
     assert send.deadline == harness.now + samples.seconds(6)
+
+
+TOLD_MS = {
+    samples.configuration.RouteKind.SAFE: 4000,
+    samples.configuration.RouteKind.STREAM: 4000,
+    samples.configuration.RouteKind.UNSAFE: 1500,
+}
+
+
+@pytest.mark.parametrize("kind", TOLD_MS)
+def test_targets_are_told_how_long_they_may_work(kind):
+    """Guards against targets that stop at the timeout of an older version.
+
+    And against unsafe requests that run after their caller got 504.
+    """
+    harness = make_harness("p0", kind=kind)
+    (send,) = harness.submit("/look/1", timeout=samples.seconds(4))
+    told = send.target_deadline - harness.now
+    assert told == samples.ms(TOLD_MS[kind])
+
+
+def test_a_retry_is_told_what_is_left_of_the_time_of_its_caller():
+    """Guards against targets that are handed more time than is left."""
+    harness = make_harness("p0", "p1")
+    (first,) = harness.submit("/look/1", timeout=samples.seconds(4))
+    advance(harness, 0.2)
+    (second,) = harness.fail_attempt(samples.requests.Failure.CONNECTION_LOST)
+    assert second.target_deadline == first.target_deadline
+
+
+def test_without_a_limit_of_the_caller_targets_are_told_the_timeout():
+    """Guards against targets that are told no limit."""
+    harness = make_harness("p0")
+    (send,) = harness.submit("/look/1")
+    assert send.target_deadline == send.deadline
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -61,7 +61,7 @@
 def fetch(address, attempt):
     deadline = now() + 20 * SECOND
     action = requests.Send(
-        1, "t1", address, deadline, deadline, SECOND, True, False
+        1, "t1", address, deadline, deadline, deadline, SECOND, True, False
     )
     request = upstream.OutgoingRequest("GET", "/look/1", (), b"", "r1")
     client = upstream.UpstreamClient(now, lambda event: None)
