Let waiting streams have the patience of the newer version

A stream that waits for a target is refused when its caller leaves, which follows from the latency target and the longest gap of its route: 2 s, four times the one or eight times the other. A version that raises them came too late for streams that were waiting: they were refused after 2 s though callers wait 10 s by the version in force.

Cause: as for the deadline; the time by which a stream must start was worked out at its arrival. It follows from the longer values of both versions now. What leaders are told as the latency of a waiting request stays that of its arrival, so that a raised target doesn't make it less urgent.

Failed before: test_a_stream_waits_as_long_as_its_caller_by_the_newer_version (refused with too_late). The two other tests hold before and after.

--- a/src/quetzalgauge/core/configuration.py
+++ b/src/quetzalgauge/core/configuration.py
@@ -142,7 +142,14 @@
     """
     if newer == route:
         return route
-    return dataclasses.replace(route, timeout=max(route.timeout, newer.timeout))
+    gaps = [r.max_gap for r in (route, newer) if r.max_gap is not None]
+    return dataclasses.replace(
+        route,
+        timeout=max(route.timeout, newer.timeout),
+        # Callers wait for events for a multiple of these.
+        target_latency=max(route.target_latency, newer.target_latency),
+        max_gap=max(gaps, default=None),
+    )
 
 
 class Configuration:
--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -124,6 +124,8 @@
     queue_key: queues.QueueKey
     deadline: datetime.timedelta
     start_deadline: datetime.timedelta
+    # When its caller wants the first byte.
+    soft_deadline: datetime.timedelta
     # When it arrived, or when the stream that its caller reads broke off.
     waits_since: datetime.timedelta
     config_version: int
@@ -342,10 +344,11 @@
         if request.silent_from == old_deadline:
             # Its attempt may take until the deadline.
             request.silent_from = request.deadline
-        if request.phase is _Phase.SENT:
+        if request.phase is not _Phase.SENT:
+            # The refusal for which it has a timer may be too early.
+            self._wake_for_refusal(request)
+        elif request.deadline > old_deadline:
             return [requests.ExtendDeadline(request.local_id, request.deadline)]
-        # The refusal for which it has a timer may be too early.
-        self._wake_for_refusal(request)
         return []
 
     def handle_event(
@@ -540,6 +543,7 @@
             (service, head.model),
             deadline,
             timeouts.start_deadline(route, now, deadline),
+            now + route.target_latency,
             now,
             config.version,
         )
@@ -984,10 +988,7 @@
         self._demand_reporter.set_waiting_requests(
             service,
             model,
-            [
-                request.arrived_at + request.route.target_latency
-                for request in waiting
-            ],
+            [request.soft_deadline for request in waiting],
         )
 
     def _dispatch_queue(
--- a/tests/test_core_changes.py
+++ b/tests/test_core_changes.py
@@ -177,3 +177,57 @@
     harness = make_harness("p0")
     (send,) = harness.submit("/look/1")
     assert send.target_deadline == send.deadline
+
+
+def test_a_stream_waits_as_long_as_its_caller_by_the_newer_version():
+    """Guards against refusals by the patience of an older version."""
+    kind = samples.configuration.RouteKind.STREAM
+    harness = make_harness("p0", slots=0, kind=kind, timeout=20.0)
+    harness.submit("/look/1", timeout=samples.seconds(30))
+    assert harness.submit("/look/1") == []
+    harness.configure(
+        make_configuration(2, kind=kind, timeout=20.0, target_latency=2.5)
+    )
+    assert advance(harness, 9.8) == []
+    (refusal,) = advance(harness, 0.3)
+    assert (refusal.local_id, refusal.status) == (2, 503)
+
+
+def test_a_shorter_latency_leaves_a_stream_its_patience():
+    """Guards against refusals by a patience that came after the request."""
+    kind = samples.configuration.RouteKind.STREAM
+    harness = make_harness(
+        "p0", slots=0, kind=kind, timeout=20.0, target_latency=2.5
+    )
+    harness.submit("/look/1", timeout=samples.seconds(30))
+    assert harness.submit("/look/1") == []
+    harness.configure(make_configuration(2, kind=kind, timeout=20.0))
+    assert advance(harness, 9.8) == []
+    assert len(advance(harness, 0.3)) == 1
+
+
+def test_leaders_are_told_the_latency_that_a_caller_arrived_with():
+    """Guards against waiting requests that lose their urgency."""
+    options = {
+        "kind": samples.configuration.RouteKind.STREAM,
+        "service": samples.ENGINE_SERVICE,
+        "timeout": 20.0,
+    }
+    harness = samples.GatewayHarness(
+        [
+            samples.make_target(
+                "e1", samples.ENGINE_SERVICE, models=["m0"], disk=["m1"]
+            )
+        ],
+        config=make_configuration(1, **options),
+    )
+    harness.publish_update(samples.make_target_view("e1", ["m0"]))
+    assert harness.submit("/look/1", "m1") == []
+    newer = make_configuration(2, target_latency=2.5, **options)
+    harness.configure(newer)
+    assert harness.advance(samples.ms(100)) == []
+    reporter = harness.gateway.demand_reporter
+    reporter.choose_zones(newer, harness.now)
+    report = reporter.build_report("qg-1", samples.ZONE, harness.now)
+    (demand,) = report.model_demands
+    assert demand.slacks == (samples.ms(150),)
