Repeat a request only if all versions in force meanwhile allow it

A request kept the number of attempts, and whether it may be resumed, from its arrival. So it was sent again after a version in force had forbidden that: to more targets than `attempts` of the route, or a second time though its stream may not be resumed any more, which can be a second run of a request that may run once.

A request in progress now has the lower number of attempts, and may be resumed if both versions allow it; one that was sent as not repeatable stays so. One that waits to be sent again is given up at once if that is forbidden, instead of waiting for a target that it may not use.

Failed before, four of six: test_the_lower_number_of_attempts_holds[3-1], test_what_one_version_forbids_to_repeat_is_not_repeated[True-False] and both of test_a_retry_that_waits_is_given_up_if_it_is_forbidden.

--- a/src/quetzalgauge/core/configuration.py
+++ b/src/quetzalgauge/core/configuration.py
@@ -133,8 +133,10 @@
 def adapt_route(route: Route, newer: Route) -> Route:
     """Returns the route of a request in progress under a newer version.
 
-    The request may have been promised what the older version allowed, and the
-    newer one may allow more.
+    It is the same object if nothing changes.
+
+    It has the time that either of them allows, but is only sent again if both
+    allow that.
 
     Args:
         route: The route of the request so far.
@@ -142,13 +144,29 @@
     """
     if newer == route:
         return route
+    timeout = max(route.timeout, newer.timeout)
+    # Callers wait for events for a multiple of these.
+    target_latency = max(route.target_latency, newer.target_latency)
     gaps = [r.max_gap for r in (route, newer) if r.max_gap is not None]
+    max_gap = max(gaps, default=None)
+    # Both versions must allow another attempt.
+    max_attempts = min(route.max_attempts, newer.max_attempts)
+    is_resumable = route.is_resumable and newer.is_resumable
+    if (timeout, target_latency, max_gap, max_attempts, is_resumable) == (
+        route.timeout,
+        route.target_latency,
+        route.max_gap,
+        route.max_attempts,
+        route.is_resumable,
+    ):
+        return route
     return dataclasses.replace(
         route,
-        timeout=max(route.timeout, newer.timeout),
-        # Callers wait for events for a multiple of these.
-        target_latency=max(route.target_latency, newer.target_latency),
-        max_gap=max(gaps, default=None),
+        timeout=timeout,
+        target_latency=target_latency,
+        max_gap=max_gap,
+        max_attempts=max_attempts,
+        is_resumable=is_resumable,
     )
 
 
--- a/src/quetzalgauge/core/gateway.py
+++ b/src/quetzalgauge/core/gateway.py
@@ -305,13 +305,14 @@
             )
 
     def configure(
-        self, config: configuration.Configuration
+        self, config: configuration.Configuration, now: datetime.timedelta
     ) -> list[requests.Action]:
         """Sets the configuration of requests that arrive from now on.
 
-        Those in progress go on by the more generous one of the versions that
-        were in force meanwhile. A route that has moved to other services, or
-        is of another kind, does not concern them.
+        Those in progress have the time that any of the versions in force
+        meanwhile allows, and the attempts that all of them allow. A route that
+        has moved to other services, or is of another kind, does not concern
+        them.
         """
         self._configuration = config
         actions: list[requests.Action] = []
@@ -327,12 +328,14 @@
             ):
                 continue
             route = configuration.adapt_route(request.route, newer)
-            if route != request.route:
+            if route is not request.route:
                 request.route = route
-                actions += self._adapt_to_route(request)
+                actions += self._adapt_to_route(request, now)
         return actions
 
-    def _adapt_to_route(self, request: _Request) -> list[requests.Action]:
+    def _adapt_to_route(
+        self, request: _Request, now: datetime.timedelta
+    ) -> list[requests.Action]:
         """Derives anew what follows from the route of a request."""
         old_deadline = request.deadline
         request.deadline = timeouts.request_deadline(
@@ -344,11 +347,14 @@
         if request.silent_from == old_deadline:
             # Its attempt may take until the deadline.
             request.silent_from = request.deadline
-        if request.phase is not _Phase.SENT:
-            # The refusal for which it has a timer may be too early.
-            self._wake_for_refusal(request)
-        elif request.deadline > old_deadline:
+        if request.phase is _Phase.SENT:
+            if request.deadline == old_deadline:
+                return []
             return [requests.ExtendDeadline(request.local_id, request.deadline)]
+        if request.may_have_run_on and not self._has_attempts_left(request):
+            return self._end_unserved(request, "attempts_used", now)
+        # The refusal for which it has a timer may be too early.
+        self._wake_for_refusal(request)
         return []
 
     def handle_event(
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -522,7 +522,7 @@
         if self._config is not None and config.version <= self._config.version:
             return []
         self._config = config
-        actions: list[Action] = list(self._gateway.configure(config))
+        actions: list[Action] = list(self._gateway.configure(config, now))
         self._log_events.append(
             log_events.LogEvent(
                 "configuration",
--- a/tests/core_samples.py
+++ b/tests/core_samples.py
@@ -178,7 +178,7 @@
         self.local_id = 0
 
     def configure(self, config):
-        return self.gateway.configure(config)
+        return self.gateway.configure(config, self.now)
 
     def submit(self, *args, **head_options):
         self.local_id += 1
--- a/tests/test_core_changes.py
+++ b/tests/test_core_changes.py
@@ -231,3 +231,40 @@
     report = reporter.build_report("qg-1", samples.ZONE, harness.now)
     (demand,) = report.model_demands
     assert demand.slacks == (samples.ms(150),)
+
+
+@pytest.mark.parametrize(("before", "after"), [(1, 3), (3, 1)])
+def test_the_lower_number_of_attempts_holds(before, after):
+    """Guards against requests on more targets than a version allows."""
+    harness = make_harness("p0", "p1", "p2", max_attempts=before)
+    harness.submit("/look/1")
+    harness.configure(make_configuration(2, max_attempts=after))
+    (refusal,) = harness.fail_attempt(samples.requests.Failure.CONNECTION_LOST)
+    assert (refusal.status, refusal.reason) == (502, "attempts_used")
+
+
+@pytest.mark.parametrize(("before", "after"), [(True, False), (False, True)])
+def test_what_one_version_forbids_to_repeat_is_not_repeated(before, after):
+    """Guards against two runs of a request that may run once."""
+    kind = samples.configuration.RouteKind.STREAM
+    harness = make_harness("p0", "p1", kind=kind, resumable=before)
+    harness.submit("/look/1")
+    harness.configure(make_configuration(2, kind=kind, resumable=after))
+    (refusal,) = harness.fail_attempt(samples.requests.Failure.CONNECTION_LOST)
+    assert (refusal.status, refusal.may_have_run) == (502, True)
+
+
+FORBIDDING = {"attempts": {"max_attempts": 1}, "resuming": {"resumable": False}}
+
+
+@pytest.mark.parametrize("options", FORBIDDING.values(), ids=FORBIDDING)
+def test_a_retry_that_waits_is_given_up_if_it_is_forbidden(options):
+    """Guards against a request that waits although it may not be sent."""
+    common = {"kind": samples.configuration.RouteKind.STREAM}
+    common |= {"resumable": True, "max_attempts": 2}
+    harness = make_harness("p0", **common)
+    harness.submit("/look/1")
+    failure = samples.requests.Failure.CONNECTION_LOST
+    assert harness.fail_attempt(failure) == []
+    (refusal,) = harness.configure(make_configuration(2, **common | options))
+    assert (refusal.status, refusal.reason) == (502, "attempts_used")
