Let callers go by limits that a version has just lowered

A version that lowers `max_body_bytes` or `max_header_bytes` was applied to each request that was read from then on. A caller that had begun to send by the older limits got 413 or 431, which it doesn't repeat, and one that sends slowly 408, within a moment of the version's acknowledgement.

Cause: the same as for timeouts, the other way round: a request is judged by the version at the time of its reading, not by one that its caller can know. The highest value of each limit that was in force within the last `apply_ms` holds now. Limits that are raised hold at once.

--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -17,6 +17,7 @@
 from quetzalgauge import clock
 from quetzalgauge import exceptions
 from quetzalgauge import logs
+from quetzalgauge.core import caller_limits
 from quetzalgauge.core import configuration
 from quetzalgauge.core import gateway
 from quetzalgauge.core import log_events
@@ -117,7 +118,7 @@
         self._has_aborted = False
         self._resign_deadline: datetime.timedelta | None = None
         self._next_metrics_at = _ZERO
-        self._limits_version = -1
+        self._recent_limits = caller_limits.RecentLimits(config.apply_time)
         # Handlers of signals interrupt each other, so they may take no lock.
         self._reload_requests: queue.SimpleQueue[None] = queue.SimpleQueue()
         # The file may have changed since it was read.
@@ -388,8 +389,13 @@
             self._execute(action)
         for log_event in self._node.take_log_events():
             self._write_log_event(log_event)
+        if isinstance(event, node.ConfigurationRead) and self._node.config:
+            self._recent_limits.record(self._node.config.limits, now)
+            self._server.apply_limits()
         if now >= self._next_metrics_at:
             self._next_metrics_at = now + METRICS_INTERVAL
+            # Superseded limits may hold no longer.
+            self._server.apply_limits()
             self._metrics.set_process_gauges(
                 self._node.in_progress_count,
                 self._node.queued_count,
@@ -404,8 +410,6 @@
                 self._node.models_without_copy,
                 self._node.models_without_orders,
             )
-        if isinstance(event, node.ConfigurationRead):
-            self._server.apply_limits()
         if self._drain_started_at is not None:
             self._stop_if_drained(now)
 
@@ -479,8 +483,7 @@
             self._execute(action)
 
     def _get_caller_limits(self) -> configuration.CallerLimits:
-        current = self._node.config
-        return current.limits if current else configuration.CallerLimits()
+        return self._recent_limits.find_most_generous(self._now())
 
     def _watch_settings(self) -> None:
         """Reloads the settings file on request or when it has changed."""
