--- a/tests/test_core_changes.py
+++ b/tests/test_core_changes.py
@@ -268,3 +268,53 @@
     assert harness.fail_attempt(failure) == []
     (refusal,) = harness.configure(make_configuration(2, **common | options))
     assert (refusal.status, refusal.reason) == (502, "attempts_used")
+
+
+def make_engine_harness():
+    """Returns a harness with two targets that have m0 and m2."""
+    targets = [
+        samples.make_target(
+            name, samples.ENGINE_SERVICE, models=["m0", "m2"], disk=["m1"]
+        )
+        for name in ("e1", "e2")
+    ]
+    harness = samples.GatewayHarness(targets)
+    harness.publish_update(
+        *(
+            samples.make_target_view(target.target, ["m0", "m2"])
+            for target in targets
+        )
+    )
+    return harness
+
+
+REMOVALS = {
+    "model": lambda: samples.make_configuration(2, models=samples.MODELS[:1]),
+    "service": lambda: samples.configuration.Configuration(
+        2, [], [], samples.configuration.CallerLimits()
+    ),
+}
+
+
+@pytest.mark.parametrize("remove", REMOVALS.values(), ids=REMOVALS)
+@pytest.mark.parametrize("adapter", [None, "a1"])
+def test_a_request_that_waits_for_what_is_removed_is_refused(remove, adapter):
+    """Guards against requests without an answer after their model is gone."""
+    harness = make_engine_harness()
+    model = "m2" if adapter else "m1"
+    assert harness.submit("/rare/1", model, adapter) == []
+    harness.configure(remove())
+    (refusal,) = advance(harness, 2.0)
+    assert (refusal.status, refusal.may_have_run) == (503, False)
+
+
+@pytest.mark.parametrize("remove", REMOVALS.values(), ids=REMOVALS)
+def test_a_stream_goes_on_though_its_model_is_removed(remove):
+    """Guards against streams that a version cuts off at its arrival."""
+    harness = make_engine_harness()
+    harness.submit("/live/1", "m2")
+    harness.handle_event(samples.requests.ResponseStarted(1))
+    harness.configure(remove())
+    assert advance(harness, 5.0) == []
+    harness.fail_attempt(None, status=200)
+    assert take_request_line(harness)["outcome"] == "answered 200"
