Probe waiting callers with the start of their response

A caller that ends its sending half and waits got an interim response, 100 Continue, that it had not asked for, twice. http.client, urllib3, h11, curl, wget and Node's http module pass over it; Node's fetch (undici) takes it for an error, closes the connection and loses the response. 102 and 103 are no way out: http.client and urllib3 take them for the response (one trial each).

The cause is that a probe sent something that does not belong to the response. Every response begins with "HTTP/1.1 ", so a probe now sends a byte of that, as it sends a leading zero between chunks; all seven read it. A handler that fails afterwards resets the connection instead of sending a second head.

There is no way to see that a caller has left without sending data: until then, a closed connection and an ended sending half look the same to the kernel. An urgent byte stays outside of the response, but is lost or becomes a part of it with SO_OOBINLINE, and in intermediaries.

Tests accept no interim response any longer: the eight cases of test_caller_that_ends_its_sending_half_gets_its_response and two of test_probed_caller_reads_its_response failed before. The new test failed before because its response was an interim one and 500.

--- a/src/quetzalgauge/node/response_writer.py
+++ b/src/quetzalgauge/node/response_writer.py
@@ -11,11 +11,11 @@
 from quetzalgauge.node import listener
 from quetzalgauge.node import upstream
 
-# An interim response, which callers ignore. It shows whether a caller that has
-# ended its sending half has closed the connection.
-_INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
-# The same within a body in chunks: the length of the next chunk, or that of the
-# last one, may begin with any number of zeros.
+# Every response begins like this. Some callers fail on an interim response that
+# they did not ask for, so nothing else is sent before the status is known.
+_RESPONSE_START = b"HTTP/1.1 "
+# The length of the next chunk, or that of the last one, may begin with any
+# number of zeros.
 _LEADING_ZERO = b"0"
 # Longer bodies are not copied behind their head to be sent at once.
 _MAX_JOINED_BYTES = 65_536
@@ -42,18 +42,22 @@
         self._chunked = False
         # Held while something is written, also by `probe`.
         self._lock = threading.Lock()
+        self._is_started = False
         self._is_between_chunks = False
-        self._has_begun_length = False
+        # Whether `probe` has sent a part of what is written next, and how much
+        # of the start of the response.
+        self._has_begun_part = False
+        self._start_size = 0
 
     @property
     def is_started(self) -> bool:
-        """Whether the response has begun."""
-        return bool(self._request.sent_headers)
+        """Whether the status of the response is known."""
+        return self._is_started
 
     def probe(self) -> bool:
-        """Sends something that the caller ignores, if that is possible.
+        """Sends what is known of the rest of the response, if anything is.
 
-        That is an interim response, or a leading zero of the next chunk length.
+        That is a byte of its start, or a leading zero of the next chunk length.
         Any thread may call this. It does not block.
 
         Returns:
@@ -66,16 +70,19 @@
         try:
             if not _is_writable(self._request.conn.socket):
                 return True
-            if not self.is_started:
-                data = _INTERIM_RESPONSE
-            elif self._is_between_chunks:
+            if self._is_between_chunks:
                 data = _LEADING_ZERO
-            else:
+            elif self._is_started:
                 return True
-            if self._is_between_chunks and not self._has_begun_length:
-                # The process may end before the rest of the length is sent.
-                self._has_begun_length = True
+            else:
+                data = _RESPONSE_START[self._start_size :][:1]
+                self._start_size += len(data)
+            if not self._has_begun_part:
+                # The process may end before the rest is sent.
+                self._has_begun_part = True
                 listener.set_reset_on_close(self._request.conn.socket, True)
+            # A worker that fails must not begin another response.
+            self._request.sent_headers = True
             return self._request.conn.socket.send(data) == len(data)
         except (OSError, ValueError):
             return False
@@ -100,7 +107,7 @@
             sent_headers.append(("Content-Length", str(len(body))))
         else:
             body = b""
-        self._request.sent_headers = True
+        self._request.sent_headers = self._is_started = True
         head = self._format_head(status, reason, sent_headers)
         if len(body) <= _MAX_JOINED_BYTES:
             self._send(head + body)
@@ -131,7 +138,7 @@
             sent_headers.append(("Transfer-Encoding", "chunked"))
         else:
             self._request.close_connection = True
-        self._request.sent_headers = True
+        self._request.sent_headers = self._is_started = True
         self._pending_head = self._format_head(status, reason, sent_headers)
 
     def write_data(self, data: bytes) -> None:
@@ -161,9 +168,7 @@
             self._is_between_chunks = False
             # The end of the connection may be taken for the end of the body:
             # nothing else marks it, or a leading zero was sent.
-            if self.is_started and (
-                not self._chunked or self._has_begun_length
-            ):
+            if self._has_begun_part or (self._is_started and not self._chunked):
                 self._request.conn.must_reset = True
 
     def _format_head(
@@ -188,12 +193,13 @@
             with self._lock:
                 self._is_between_chunks = False
                 # The timeout of `sendall` would be for all of the data.
-                rest = memoryview(data)
+                rest = memoryview(data)[self._start_size :]
+                self._start_size = 0
                 while rest:
                     rest = rest[sock.send(rest) :]
                 self._is_between_chunks = is_before_chunk
-                if self._has_begun_length:
-                    self._has_begun_length = False
+                if self._has_begun_part:
+                    self._has_begun_part = False
                     listener.set_reset_on_close(sock, False)
         except OSError as error:
             self.abort()
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -173,7 +173,7 @@
     """Guards against a request that ends since its caller sends nothing more.
 
     The caller still waits for the response: before it was read, before the
-    response and within a stream.
+    response and within a stream. It accepts no interim response.
     """
     kind = "stream" if path in ("tell", "show") else "plain"
     with futures.ThreadPoolExecutor(COUNTS[load]) as executor:
@@ -198,8 +198,6 @@
     )
     for response in responses:
         received = response.result()
-        while received.startswith(b"HTTP/1.1 100 "):
-            received = received.partition(b"\r\n\r\n")[2]
         assert received.startswith(b"HTTP/1.1 200 "), received
         assert read_body(received) == bodies[kind == "stream"]
 
--- a/tests/test_probed_callers.py
+++ b/tests/test_probed_callers.py
@@ -20,7 +20,6 @@
 BODY = b"id: 1\n\nid: 2\n\n"
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 RESPONSE = re.compile(
-    rb"(HTTP/1\.1 100 Continue\r\n\r\n)*"
     rb"HTTP/1\.1 200 OK\r\n([A-Za-z-]+: [^\r\n]+\r\n)+\r\n"
     rb"(0*[1-9a-f][0-9a-f]*\r\n(id: \d\n\n)\r\n)+0+\r\n\r\n"
 )
@@ -117,7 +116,7 @@
     """Guards against a cut response that a probe makes look complete.
 
     A parser may take the zero of a probe and the end of the connection for the
-    last chunk.
+    last chunk, and an interim response that it did not ask for as an error.
     """
 
     def respond(request):
@@ -146,3 +145,22 @@
             read(address)
     else:
         assert read(address) == BODY
+
+
+def test_handler_that_fails_after_a_probe_sends_no_second_start(serve):
+    """Guards against a response within the one that a probe has begun."""
+
+    def fail(request):
+        writer = response_writer.ResponseWriter(request, lambda: False)
+        assert writer.probe()
+        raise RuntimeError
+
+    received = b""
+    with (
+        socket.create_connection(serve(fail), timeout=3) as sock,
+        pytest.raises(ConnectionResetError),
+    ):
+        sock.sendall(REQUEST)
+        while data := sock.recv(65536):
+            received += data
+    assert b"HTTP/1.1 ".startswith(received)
