--- a/tests/test_timeouts_beside_changes.py
+++ b/tests/test_timeouts_beside_changes.py
@@ -17,6 +17,7 @@
 RESPONSE_SECONDS = 3.0
 EVENT_INTERVAL_SECONDS = 0.15
 CHANGE_AFTER_SECONDS = 0.6
+CHANGE_INTERVAL_SECONDS = 0.1
 COUNT = 6
 
 
@@ -77,8 +78,8 @@
         yield site, instance, targets
 
 
-def fetch_beside_change(site, instance, route, new_timeout_ms):
-    """Sends requests, and a new timeout meanwhile; returns the responses."""
+def fetch_beside_changes(site, instance, route, *new_timeouts_ms):
+    """Sends requests, and new timeouts meanwhile; returns the responses."""
 
     def ask(number):
         return faulty_site.fetch(
@@ -88,7 +89,9 @@
     with futures.ThreadPoolExecutor(COUNT) as executor:
         responses = [executor.submit(ask, number) for number in range(COUNT)]
         time.sleep(CHANGE_AFTER_SECONDS)
-        write_timeout(site, 4, new_timeout_ms)
+        for version, timeout_ms in enumerate(new_timeouts_ms, 4):
+            write_timeout(site, version, timeout_ms)
+            time.sleep(CHANGE_INTERVAL_SECONDS)
     return [response.result()[::2] for response in responses]
 
 
@@ -105,7 +108,21 @@
 def test_requests_go_on_under_a_raised_timeout(tmp_path, route, script):
     """Guards against requests cut off at the timeout of an older version."""
     with run_slow_service(tmp_path, script, SHORT_MS) as (site, instance, _):
-        responses = fetch_beside_change(site, instance, route, LONG_MS)
+        responses = fetch_beside_changes(site, instance, route, LONG_MS)
+    assert responses == [(200, True)] * COUNT
+
+
+@pytest.mark.parametrize("route", ["ask", "tell", "show"])
+def test_requests_go_on_beside_a_series_of_versions(tmp_path, route):
+    """Guards against the last one of several versions cutting requests off."""
+    with run_slow_service(tmp_path, respond_by_deadline, SHORT_MS) as (
+        site,
+        instance,
+        _,
+    ):
+        responses = fetch_beside_changes(
+            site, instance, route, *[LONG_MS, SHORT_MS] * 12
+        )
     assert responses == [(200, True)] * COUNT
 
 
@@ -117,7 +134,7 @@
         instance,
         _,
     ):
-        responses = fetch_beside_change(site, instance, route, SHORT_MS)
+        responses = fetch_beside_changes(site, instance, route, SHORT_MS)
     assert responses == [(200, True)] * COUNT
 
 
