Keep bodies in memory once while they are passed on

Memory was taken for a body once, but it lay in memory twice: the parts of a response were kept while they were joined, and a request body was copied behind its head (twice if it was no bytes object). A small response is still one call and one segment.

A body of a request may be bytes, bytearray or memoryview.

--- a/src/quetzalgauge/node/http_client.py
+++ b/src/quetzalgauge/node/http_client.py
@@ -215,7 +215,7 @@
             method, self._prefix + path, sent_headers.items(), data
         )
         _set_timeout(sock, deadline)
-        sock.sendall(request)
+        sock.sendall(b"".join(request))
         content = _read_response(
             sock, parser, deadline, self._max_response_bytes
         )
--- a/src/quetzalgauge/node/response_parser.py
+++ b/src/quetzalgauge/node/response_parser.py
@@ -13,6 +13,7 @@
 import h11
 
 from quetzalgauge import exceptions
+from quetzalgauge.node import send_buffers
 
 MAX_HEAD_BYTES = 65_536
 # Bounds the interim responses before a final one.
@@ -115,10 +116,12 @@
         method: str,
         uri: str,
         headers: Iterable[tuple[str, str]],
-        body: bytes,
-    ) -> bytes:
+        body: send_buffers.Buffer,
+    ) -> list[send_buffers.Buffer]:
         """Returns the bytes of the request whose response is parsed.
 
+        The body is not copied.
+
         Args:
             method: HTTP method.
             uri: Path and query.
@@ -135,20 +138,23 @@
         if body or method in _METHODS_WITH_BODY:
             sent_headers.append((b"Content-Length", b"%d" % len(body)))
         try:
-            parts = [
-                self._connection.send(
-                    h11.Request(
-                        method=method.encode("latin-1"),
-                        target=uri.encode("latin-1"),
-                        headers=sent_headers,
-                    )
-                ),
-                self._connection.send(h11.Data(data=body)) if body else b"",
-                self._connection.send(h11.EndOfMessage()),
-            ]
+            head = self._connection.send(
+                h11.Request(
+                    method=method.encode("latin-1"),
+                    target=uri.encode("latin-1"),
+                    headers=sent_headers,
+                )
+            )
+            assert head is not None
+            if body:
+                # With this length, the body is sent as it is.
+                self._connection.send_with_data_passthrough(
+                    h11.Data(data=body)  # type: ignore[arg-type]
+                )
+            self._connection.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise ValueError(f"request cannot be sent: {error}") from error
-        return b"".join(part for part in parts if part)
+        return [head, body]
 
     def feed(self, data: bytes) -> None:
         """Takes received bytes; empty when the peer has closed the connection.
--- a/src/quetzalgauge/node/response_writer.py
+++ b/src/quetzalgauge/node/response_writer.py
@@ -9,6 +9,7 @@
 
 from quetzalgauge import exceptions
 from quetzalgauge.node import listener
+from quetzalgauge.node import send_buffers
 from quetzalgauge.node import upstream
 
 # Every response begins like this. Some callers fail on an interim response that
@@ -17,8 +18,6 @@
 # The length of the next chunk, or that of the last one, may begin with any
 # number of zeros.
 _LEADING_ZERO = b"0"
-# Longer bodies are not copied behind their head to be sent at once.
-_MAX_JOINED_BYTES = 65_536
 
 
 class CallerDisconnectedError(exceptions.QuetzalgaugeError):
@@ -98,22 +97,37 @@
     ) -> None:
         """Writes a complete response.
 
+        Raises:
+            CallerDisconnectedError: The caller has closed its connection.
+        """
+        self.write_response_parts(status, reason, headers, [body])
+
+    def write_response_parts(
+        self,
+        status: int,
+        reason: str,
+        headers: Iterable[tuple[str, str]],
+        parts: list[bytes],
+    ) -> None:
+        """Writes a complete response with its body in parts.
+
+        The list is emptied, so that each part is released once it was sent.
+
         Raises:
             CallerDisconnectedError: The caller has closed its connection.
         """
         sent_headers = list(headers)
         method = self._request.method.decode("latin-1")
         if upstream.has_body(status, method):
-            sent_headers.append(("Content-Length", str(len(body))))
+            length = sum(map(len, parts))
+            sent_headers.append(("Content-Length", str(length)))
         else:
-            body = b""
+            parts.clear()
         self._request.sent_headers = self._is_started = True
         head = self._format_head(status, reason, sent_headers)
-        if len(body) <= _MAX_JOINED_BYTES:
-            self._send(head + body)
-            return
-        self._send(head)
-        self._send(body)
+        buffers = send_buffers.SendBuffers([head, *parts])
+        parts.clear()
+        self._send(buffers)
 
     def start_stream(
         self,
@@ -147,10 +161,24 @@
         Raises:
             CallerDisconnectedError: The caller has closed its connection.
         """
-        if self._chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self.write_parts([data])
+
+    def write_parts(self, parts: list[bytes]) -> None:
+        """Writes several parts of a stream, as one chunk.
+
+        The list is emptied, so that each part is released once it was sent.
+
+        Raises:
+            CallerDisconnectedError: The caller has closed its connection.
+        """
         head, self._pending_head = self._pending_head, b""
-        self._send(head + data, is_before_chunk=self._chunked)
+        end = b""
+        if self._chunked:
+            head += b"%x\r\n" % sum(map(len, parts))
+            end = b"\r\n"
+        buffers = send_buffers.SendBuffers([head, *parts, end])
+        parts.clear()
+        self._send(buffers, is_before_chunk=self._chunked)
 
     def end_stream(self) -> None:
         """Writes the proper end of a complete stream.
@@ -159,7 +187,8 @@
             CallerDisconnectedError: The caller has closed its connection.
         """
         head, self._pending_head = self._pending_head, b""
-        self._send(head + (b"0\r\n\r\n" if self._chunked else b""))
+        last_chunk = b"0\r\n\r\n" if self._chunked else b""
+        self._send(send_buffers.SendBuffers([head, last_chunk]))
 
     def abort(self) -> None:
         """Closes the connection, so that the response stays incomplete."""
@@ -184,7 +213,9 @@
             lines.append("Connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
 
-    def _send(self, data: bytes, is_before_chunk: bool = False) -> None:
+    def _send(
+        self, buffers: send_buffers.SendBuffers, is_before_chunk: bool = False
+    ) -> None:
         sock = self._request.conn.socket
         # Each change of the timeout costs a system call.
         if sock.gettimeout() != listener.WRITE_TIMEOUT_SECONDS:
@@ -192,11 +223,10 @@
         try:
             with self._lock:
                 self._is_between_chunks = False
-                # The timeout of `sendall` would be for all of the data.
-                rest = memoryview(data)[self._start_size :]
+                buffers.skip(self._start_size)
                 self._start_size = 0
-                while rest:
-                    rest = rest[sock.send(rest) :]
+                while len(buffers):
+                    buffers.send(sock)
                 self._is_between_chunks = is_before_chunk
                 if self._has_begun_part:
                     self._has_begun_part = False
--- a/src/quetzalgauge/node/upstream.py
+++ b/src/quetzalgauge/node/upstream.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Callable
 from collections.abc import Generator
+from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -29,6 +30,7 @@
 from quetzalgauge.node import connections
 from quetzalgauge.node import read_timer
 from quetzalgauge.node import response_parser
+from quetzalgauge.node import send_buffers
 from quetzalgauge.platform import headers as wire_headers
 
 # A target in the same region accepts a connection within milliseconds.
@@ -83,18 +85,25 @@
     method: str
     uri: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: send_buffers.Buffer
     request_id: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BufferedResponse:
-    """A complete response of a target."""
+    """A complete response of a target.
+
+    Attributes:
+        status: HTTP status.
+        reason: Reason phrase, may be empty.
+        headers: Names and values.
+        body: The parts of the body.
+    """
 
     status: int
     reason: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: list[bytes]
 
 
 class _Transfer:
@@ -105,17 +114,17 @@
     Args:
         sock: The socket.
         parser: Parses what is received.
-        request: The bytes of the request.
+        request: The bytes of the request, in several buffers.
     """
 
     def __init__(
         self,
         sock: socket.socket,
         parser: response_parser.ResponseParser,
-        request: bytes,
+        request: Iterable[send_buffers.Buffer],
     ) -> None:
         self._sock = sock
-        self._unsent = memoryview(request)
+        self._unsent = send_buffers.SendBuffers(request)
         self.parser = parser
 
     @property
@@ -163,7 +172,7 @@
     def _send(self, timer: read_timer.ReadTimer) -> None:
         _set_timeout(self._sock, timer.get_remaining())
         try:
-            self._unsent = self._unsent[self._sock.send(self._unsent) :]
+            self._unsent.send(self._sock)
         except TimeoutError:
             timer.check_timeout()
 
@@ -517,10 +526,11 @@
     sock = connection.sock
     assert sock is not None
     parser = response_parser.ResponseParser()
-    data = parser.make_request(
-        request.method, request.uri, headers, request.body
+    transfer = _Transfer(
+        sock,
+        parser,
+        parser.make_request(request.method, request.uri, headers, request.body),
     )
-    transfer = _Transfer(sock, parser, data)
     yield from transfer.begin(timer)
     while parser.head is None:
         yield from transfer.receive(timer)
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -14,6 +14,7 @@
 import queue
 import select
 import socket
+import sys
 
 from quetzalgauge import clock
 from quetzalgauge import exceptions
@@ -419,14 +420,14 @@
         body = client.open_body(response, running.timer, running.handle)
         while part := (yield from body.read_part()):
             parts.append(part)
-            if not self._reservation.take_for_response(len(part)):
+            if not self._reservation.take_for_response(sys.getsizeof(part)):
                 yield from self._pass_on(running, response, parts, body)
                 return
         buffered = upstream.BufferedResponse(
             response.head.status,
             response.head.reason,
             response.head.headers,
-            b"".join(parts),
+            parts,
         )
         self._release_connection(running, response)
         # The core requires a new connection for requests that must not be
@@ -478,11 +479,10 @@
             self._context.now() - self._arrived_at
         )
         self._has_written_data = running.has_data = True
-        while received:
-            self._write_data(received.pop(0))
+        self._write_data(received)
         self._reservation.release()
         while part := (yield from rest.read_part()):
-            self._write_data(part)
+            self._write_data([part])
         self._release_connection(running, response)
         self._finish_stream(running, response)
 
@@ -518,21 +518,21 @@
         self._context.metrics.observe_first_byte(
             self._context.now() - self._arrived_at
         )
-        self._writer.write_response(
+        self._writer.write_response_parts(
             response.status,
             response.reason,
             wire_headers.filter_response_headers(response.headers),
             response.body,
         )
 
-    def _write_data(self, data: bytes) -> None:
-        """Writes a part of a stream.
+    def _write_data(self, parts: list[bytes]) -> None:
+        """Writes parts of a stream and empties the list.
 
         Raises:
             connections.AttemptError: The caller has disconnected.
         """
         try:
-            self._writer.write_data(data)
+            self._writer.write_parts(parts)
         except response_writer.CallerDisconnectedError as error:
             raise connections.AttemptError(
                 requests.Failure.CALLER_DISCONNECTED
@@ -617,7 +617,7 @@
                 response.head.reason,
                 wire_headers.filter_response_headers(response.head.headers),
             )
-        self._write_data(events)
+        self._write_data([events])
         has_data = streams.has_data(events)
         is_first_data = has_data and not self._has_written_data
         action = running.action
--- /dev/null
+++ b/tests/served_requests.py
@@ -0,0 +1,77 @@
+"""The listener and the workers in the process of a test, without the core."""
+
+import contextlib
+import datetime
+import threading
+import time
+
+from quetzalgauge.core import configuration
+from quetzalgauge.core import requests
+from quetzalgauge.node import buffer_memory
+from quetzalgauge.node import disconnect_watcher
+from quetzalgauge.node import listener
+from quetzalgauge.node import metrics
+from quetzalgauge.node import upstream
+from quetzalgauge.node import worker
+
+TIMEOUT = datetime.timedelta(seconds=30)
+
+
+def now():
+    return datetime.timedelta(seconds=time.monotonic())
+
+
+@contextlib.contextmanager
+def run_server(address, memory_mb=300, max_threads=30):
+    """Runs a server that sends each request to one target.
+
+    Yields the address of the server, and its memory for bodies.
+
+    Args:
+        address: Address of the target.
+        memory_mb: Memory of the process.
+        max_threads: Maximum number of worker threads.
+    """
+    active_requests = {}
+
+    def post_event(event):
+        if isinstance(event, requests.RequestArrived):
+            deadline = now() + TIMEOUT
+            active_requests[event.local_id].put(
+                requests.Send(
+                    event.local_id,
+                    "t1",
+                    address,
+                    deadline,
+                    deadline,
+                    TIMEOUT,
+                    needs_new_connection=True,
+                    is_stream=False,
+                )
+            )
+
+    memory = buffer_memory.make_buffer_memory(memory_mb)
+    context = worker.WorkerContext(
+        now,
+        post_event,
+        active_requests,
+        disconnect_watcher.DisconnectWatcher(lambda _: None),
+        upstream.UpstreamClient(now, lambda _: None),
+        metrics.Metrics(),
+        memory,
+        lambda: False,
+    )
+    server = listener.Server(
+        ("127.0.0.1", 0),
+        configuration.CallerLimits,
+        max_threads,
+        1000,
+        worker.make_request_handler(context),
+        lambda *_: None,
+    )
+    server.prepare()
+    threading.Thread(target=server.serve, daemon=True).start()
+    try:
+        yield server.bind_addr, memory
+    finally:
+        server.stop()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,9 +6,11 @@
 
 import contextlib
 import datetime
+import hashlib
 import socket
 import threading
 import time
+import tracemalloc
 
 import pytest
 
@@ -58,12 +60,12 @@
     return connections.Attempt(now() + 20 * SECOND)
 
 
-def fetch(address, attempt):
+def fetch(address, attempt, body=b""):
     deadline = now() + 20 * SECOND
     action = requests.Send(
         1, "t1", address, deadline, deadline, deadline, SECOND, True, False
     )
-    request = upstream.OutgoingRequest("GET", "/look/1", (), b"", "r1")
+    request = upstream.OutgoingRequest("GET", "/look/1", (), body, "r1")
     client = upstream.UpstreamClient(now, lambda event: None)
     connection, _ = client.acquire_connection(
         action, request.request_id, attempt
@@ -157,3 +159,40 @@
     with listener, pytest.raises(connections.AttemptError) as error:
         fetch(f"{host}:{port}", make_attempt())
     assert error.value.failure is requests.Failure.FULL
+
+
+@pytest.mark.parametrize("make_body", [bytes, bytearray, memoryview])
+@pytest.mark.parametrize("size", [10, 8_000_000])
+def test_request_is_sent_without_a_copy_of_its_body(make_body, size):
+    """Guards against a process that takes twice the memory that it counts.
+
+    The body of a request was copied behind its head.
+    """
+    body = make_body(b"0123456789" * (size // 10))
+    listener = socket.create_server(("127.0.0.1", 0))
+    digest = hashlib.sha256()
+
+    def serve():
+        connection, _ = listener.accept()
+        with connection:
+            head, _, data = connection.recv(65_536).partition(b"\r\n\r\n")
+            assert f"Content-Length: {size}".encode() in head.split(b"\r\n")
+            digest.update(data)
+            missing = size - len(data)
+            while missing:
+                data = connection.recv(min(missing, 65_536))
+                digest.update(data)
+                missing -= len(data)
+            connection.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+
+    threading.Thread(target=serve, daemon=True).start()
+    host, port = listener.getsockname()
+    with listener:
+        tracemalloc.start()
+        try:
+            fetch(f"{host}:{port}", make_attempt(), body)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert digest.digest() == hashlib.sha256(body).digest()
+    assert peak < 1_000_000
