Close the slowest readers when they take too many threads

What callers saw: no answer, or 503 too_many, for as long as a crowd read long responses a few bytes at a time. Cause: each part that a caller reads begins the write timeout anew, so each of them kept a worker thread, and its response in memory, for as long as it liked.

Callers whose socket takes less than it is offered are now counted while their threads wait. A write that does not wait is still one call, and one poll less.

--- a/src/quetzalgauge/node/buffer_memory.py
+++ b/src/quetzalgauge/node/buffer_memory.py
@@ -23,6 +23,7 @@
     def __init__(self, total_bytes: int) -> None:
         self._lock = threading.Lock()
         self._free_bytes = total_bytes
+        self.total_bytes = total_bytes
         self.max_response_bytes = int(total_bytes * RESPONSE_SHARE)
         self.reserved_bytes = int(total_bytes * REQUESTS_SHARE)
 
@@ -39,6 +40,10 @@
             self._free_bytes -= size
             return True
 
+    def has_for_response(self, size: int) -> bool:
+        """Returns whether a response could take memory now."""
+        return self._free_bytes - size >= self.reserved_bytes
+
     def give_back(self, size: int) -> None:
         """Returns memory that was taken."""
         with self._lock:
--- a/src/quetzalgauge/node/metrics.py
+++ b/src/quetzalgauge/node/metrics.py
@@ -47,6 +47,12 @@
             ["reason", "status"],
             registry=registry,
         )
+        self._slow_readers = prometheus_client.Counter(
+            "quetzalgauge_slow_readers_closed",
+            "Callers that were closed since they read too slowly.",
+            ["reason"],
+            registry=registry,
+        )
         self._attempt_failures = prometheus_client.Counter(
             "quetzalgauge_attempt_failures",
             "Failed attempts to send a request to a target.",
@@ -135,6 +141,10 @@
         """Counts a failed attempt to send a request to a target."""
         self._attempt_failures.labels(failure).inc()
 
+    def count_slow_readers(self, reason: str, count: int) -> None:
+        """Counts callers that were closed since they read too slowly."""
+        self._slow_readers.labels(reason).inc(count)
+
     def observe_first_byte(self, duration: datetime.timedelta) -> None:
         """Records the time from a request to the first byte of its response."""
         self._first_byte.observe(duration.total_seconds())
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -33,6 +33,7 @@
 from quetzalgauge.node import metrics
 from quetzalgauge.node import order_dispatcher
 from quetzalgauge.node import settings
+from quetzalgauge.node import slow_readers
 from quetzalgauge.node import status_server
 from quetzalgauge.node import tasks
 from quetzalgauge.node import topic_consumers
@@ -141,6 +142,7 @@
                 requests.CallerDisconnected(local_id)
             )
         )
+        memory = buffer_memory.make_buffer_memory(config.memory_mb)
         self._server = listener.Server(
             (config.listen.host, config.listen.port),
             self._get_caller_limits,
@@ -154,7 +156,13 @@
                     self._disconnect_watcher,
                     upstream.UpstreamClient(self._now, self._post_event),
                     self._metrics,
-                    buffer_memory.make_buffer_memory(config.memory_mb),
+                    memory,
+                    slow_readers.make_slow_readers(
+                        self._now,
+                        MAX_THREADS,
+                        memory.total_bytes,
+                        self._metrics.count_slow_readers,
+                    ),
                     lambda: (
                         self._node.is_draining
                         or not self._server.can_add_keepalive_connection
--- a/src/quetzalgauge/node/response_writer.py
+++ b/src/quetzalgauge/node/response_writer.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
+import datetime
 import http.client
 import select
 import socket
@@ -10,6 +12,7 @@
 from quetzalgauge import exceptions
 from quetzalgauge.node import listener
 from quetzalgauge.node import send_buffers
+from quetzalgauge.node import slow_readers
 from quetzalgauge.node import upstream
 
 # Every response begins like this. Some callers fail on an interim response that
@@ -31,13 +34,19 @@
         request: The request.
         closes_connections: Whether connections are closed after a response
             behind which nothing else was received.
+        readers: The slow readers of the process.
     """
 
     def __init__(
-        self, request: listener.Request, closes_connections: Callable[[], bool]
+        self,
+        request: listener.Request,
+        closes_connections: Callable[[], bool],
+        readers: slow_readers.SlowReaders,
     ) -> None:
         self._request = request
         self._closes_connections = closes_connections
+        self._readers = readers
+        self._behind_since: datetime.timedelta | None = None
         self._chunked = False
         # Held while something is written, also by `probe`.
         self._lock = threading.Lock()
@@ -218,23 +227,46 @@
     ) -> None:
         sock = self._request.conn.socket
         # Each change of the timeout costs a system call.
-        if sock.gettimeout() != listener.WRITE_TIMEOUT_SECONDS:
-            sock.settimeout(listener.WRITE_TIMEOUT_SECONDS)
+        if sock.gettimeout() != 0:
+            sock.settimeout(0)
         try:
             with self._lock:
                 self._is_between_chunks = False
                 buffers.skip(self._start_size)
                 self._start_size = 0
-                while len(buffers):
-                    buffers.send(sock)
+                self._send_all(sock, buffers)
                 self._is_between_chunks = is_before_chunk
                 if self._has_begun_part:
                     self._has_begun_part = False
                     listener.set_reset_on_close(sock, False)
         except OSError as error:
             self.abort()
+            if isinstance(error, slow_readers.TooSlowError):
+                # The kernel would keep what the caller has not read yet.
+                self._request.conn.must_reset = True
             raise CallerDisconnectedError(str(error)) from error
 
+    def _send_all(
+        self, sock: socket.socket, buffers: send_buffers.SendBuffers
+    ) -> None:
+        if _send_now(sock, buffers):
+            self._behind_since = None
+            return
+        if self._behind_since is None:
+            self._behind_since = self._readers.get_time()
+        with self._readers.track(self._behind_since, buffers) as reader:
+            while len(buffers):
+                self._readers.wait(reader, sock, listener.WRITE_TIMEOUT_SECONDS)
+                _send_now(sock, buffers)
+
+
+def _send_now(sock: socket.socket, buffers: send_buffers.SendBuffers) -> bool:
+    """Sends what a socket takes at once; returns whether that was all."""
+    with contextlib.suppress(BlockingIOError):
+        while len(buffers) and buffers.send(sock):
+            pass
+    return not len(buffers)
+
 
 def _is_writable(sock: socket.socket) -> bool:
     poller = select.poll()
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -26,6 +26,7 @@
 from quetzalgauge.node import metrics
 from quetzalgauge.node import read_timer
 from quetzalgauge.node import response_writer
+from quetzalgauge.node import slow_readers
 from quetzalgauge.node import streams
 from quetzalgauge.node import target_check
 from quetzalgauge.node import upstream
@@ -95,6 +96,7 @@
         upstream_client: Sends requests to targets.
         metrics: The metrics.
         memory: Memory for the bodies of requests and responses.
+        readers: Callers that read their responses slowly.
         closes_connections: Whether connections are closed after their last
             response.
     """
@@ -106,6 +108,7 @@
     upstream_client: upstream.UpstreamClient
     metrics: metrics.Metrics
     memory: buffer_memory.BufferMemory
+    readers: slow_readers.SlowReaders
     closes_connections: Callable[[], bool]
 
 
@@ -420,7 +423,10 @@
         body = client.open_body(response, running.timer, running.handle)
         while part := (yield from body.read_part()):
             parts.append(part)
-            if not self._reservation.take_for_response(sys.getsizeof(part)):
+            size = sys.getsizeof(part)
+            if not self._reservation.take_for_response(size):
+                if not self._context.memory.has_for_response(size):
+                    self._context.readers.free_memory()
                 yield from self._pass_on(running, response, parts, body)
                 return
         buffered = upstream.BufferedResponse(
@@ -705,7 +711,7 @@
         path = request.uri.partition(b"?")[0].decode("latin-1")
         sock: socket.socket = request.conn.socket
         writer = response_writer.ResponseWriter(
-            request, context.closes_connections
+            request, context.closes_connections, context.readers
         )
         try:
             body = request.read_body(reservation.take_for_request)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -11,6 +11,7 @@
 import types
 
 import pytest
+import served_requests
 
 from quetzalgauge.core import configuration
 from quetzalgauge.node import listener
@@ -214,7 +215,9 @@
 
     def fail(request):
         if has_begun:
-            writer = response_writer.ResponseWriter(request, lambda: False)
+            writer = response_writer.ResponseWriter(
+                request, lambda: False, served_requests.make_slow_readers()[0]
+            )
             writer.start_stream(200, "OK", [])
             writer.write_data(b"data")
         raise error
@@ -242,7 +245,9 @@
     request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
     def respond(request):
-        writer = response_writer.ResponseWriter(request, lambda: True)
+        writer = response_writer.ResponseWriter(
+            request, lambda: True, served_requests.make_slow_readers()[0]
+        )
         writer.write_response(200, "OK", [], body)
         time.sleep(0.2)
 
--- a/tests/test_probed_callers.py
+++ b/tests/test_probed_callers.py
@@ -11,6 +11,7 @@
 
 import h11
 import pytest
+import served_requests
 import urllib3
 
 from quetzalgauge.core import configuration
@@ -120,7 +121,9 @@
     """
 
     def respond(request):
-        writer = response_writer.ResponseWriter(request, lambda: False)
+        writer = response_writer.ResponseWriter(
+            request, lambda: False, served_requests.make_slow_readers()[0]
+        )
         before_head, before_chunk, before_last = MOMENTS[moment]
         for _ in range(before_head):
             assert writer.probe()
@@ -151,7 +154,9 @@
     """Guards against a response within the one that a probe has begun."""
 
     def fail(request):
-        writer = response_writer.ResponseWriter(request, lambda: False)
+        writer = response_writer.ResponseWriter(
+            request, lambda: False, served_requests.make_slow_readers()[0]
+        )
         assert writer.probe()
         raise RuntimeError
 
--- a/tests/test_response_writer.py
+++ b/tests/test_response_writer.py
@@ -5,6 +5,7 @@
 import types
 
 import pytest
+import served_requests
 
 from quetzalgauge.node import listener
 from quetzalgauge.node import response_writer
@@ -28,7 +29,9 @@
         sent_headers=False,
         conn=types.SimpleNamespace(socket=sock, must_reset=False),
     )
-    writer = response_writer.ResponseWriter(request, lambda: False)
+    writer = response_writer.ResponseWriter(
+        request, lambda: False, served_requests.make_slow_readers()[0]
+    )
     try:
         writer.write_response(200, "OK", [], BODY)
         outcomes.append("whole")
--- a/tests/test_worker_memory.py
+++ b/tests/test_worker_memory.py
@@ -37,7 +37,7 @@
 
     The parts of a response were kept while they were joined.
     """
-    with served_requests.run_server(address) as (server_address, _):
+    with served_requests.run_server(address) as server_address:
         connection = http.client.HTTPConnection(*server_address, timeout=20)
         headers = {"Request-Id": "r1", "Deadline-Ms": "20000"}
         tracemalloc.start()
