Answer readiness checks beside clients that send half a request

What was seen: a few clients that sent half a head, or a byte of it now and then, occupied all threads of the readiness and operator ports; /ready was not answered, so that the platform would take the instance out of rotation. Cause: a thread read each connection from its start, and its timeout was for one read.

A connection now goes to a thread when the head of its request is whole. The kernel reports it again only when more has arrived (SO_RCVLOWAT). At most 64 connections wait for the rest of a head, the oldest is closed for a new one, and a head has one timeout. A response that is not taken may occupy a thread for 50 ms while other requests wait.

--- a/src/quetzalgauge/node/status_server.py
+++ b/src/quetzalgauge/node/status_server.py
@@ -5,8 +5,10 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import contextlib
 import dataclasses
 import json
+import socket
 from typing import Any
 
 import cheroot.server
@@ -15,8 +17,13 @@
 from quetzalgauge.node import listener
 from quetzalgauge.node import tasks
 
-# An idle connection occupies a thread for this long.
+# Time for the head of a request, and to take a response.
 _CONNECTION_TIMEOUT_SECONDS = 2
+# Time to take a response while other requests wait.
+_SHORT_WRITE_TIMEOUT_SECONDS = 0.05
+# Connections that may wait for the rest of a head, and for being accepted.
+_MAX_WAITING_CONNECTIONS = 64
+_BACKLOG = 128
 _DEFAULT_THREADS = 3
 # How often the selector of cheroot wakes up to close idle connections.
 _EXPIRATION_INTERVAL_SECONDS = 5
@@ -47,9 +54,47 @@
     return Response(200 if is_healthy else 503)
 
 
+class _Connection(cheroot.server.HTTPConnection):
+    """A connection whose request no thread waits for."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._received_bytes = 0
+
+    def has_head(self) -> bool:
+        """Returns whether the head of a request was received.
+
+        Call this when the socket is readable.
+
+        Raises:
+            OSError: There will not be one.
+        """
+        data = self.socket.recv(_MAX_HEADER_BYTES + 1, socket.MSG_PEEK)
+        if b"\r\n\r\n" in data or len(data) > _MAX_HEADER_BYTES:
+            self._set_min_readable(1)
+            return True
+        if len(data) <= self._received_bytes:
+            raise ConnectionError("the request has ended")
+        self._received_bytes = len(data)
+        # What was received does not make the socket readable again.
+        self._set_min_readable(len(data) + 1)
+        return False
+
+    def _set_min_readable(self, size: int) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, size)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.server.forget(self)
+        super().close()
+
+
 class StatusServer(cheroot.server.HTTPServer):
     """Serves `GET` requests for a fixed set of paths.
 
+    A thread is occupied only by requests whose head is whole. When too many
+    connections wait for the rest of one, the oldest is closed.
+
     Args:
         address: Host and port.
         handlers: Functions that return the responses, by path.
@@ -58,6 +103,9 @@
 
     expiration_interval = _EXPIRATION_INTERVAL_SECONDS
     max_request_header_size = _MAX_HEADER_BYTES
+    request_queue_size = _BACKLOG
+    ConnectionClass = _Connection
+    _connections: Any
 
     def __init__(
         self,
@@ -73,6 +121,7 @@
             address, _Gateway, minthreads=threads, maxthreads=threads
         )
         self.timeout = _CONNECTION_TIMEOUT_SECONDS
+        self._waiting: dict[_Connection, None] = {}
 
     def start_serving(
         self, thread_name: str, on_failure: Callable[[str], None]
@@ -89,6 +138,42 @@
         self.prepare()
         tasks.start_thread(thread_name, self.serve, on_failure)
 
+    def process_conn(self, conn: Any) -> None:
+        """Passes a connection to a thread once it has the head of a request.
+
+        Only the thread that waits for connections calls this.
+        """
+        accepted_at = conn.last_used
+        if accepted_at is None:
+            self._make_room()
+            self._waiting[conn] = None
+            self.put_conn(conn)
+            return
+        try:
+            if conn.has_head():
+                self._waiting.pop(conn, None)
+                super().process_conn(conn)
+                return
+        except OSError:
+            conn.close()
+            return
+        self.put_conn(conn)
+        # It has one timeout for all of the head.
+        conn.last_used = accepted_at
+
+    def _make_room(self) -> None:
+        """Ends the oldest connections if too many wait."""
+        while len(self._waiting) >= _MAX_WAITING_CONNECTIONS:
+            oldest = next(iter(self._waiting))
+            del self._waiting[oldest]
+            # It becomes readable, and is closed then.
+            with contextlib.suppress(OSError):
+                oldest.socket.shutdown(socket.SHUT_RDWR)
+
+    def forget(self, conn: _Connection) -> None:
+        """Removes a connection that is closed."""
+        self._waiting.pop(conn, None)
+
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
@@ -105,6 +190,8 @@
         listener.write_response(request, 404, "")
     else:
         response = handler()
+        if request.server.requests.qsize:
+            request.conn.socket.settimeout(_SHORT_WRITE_TIMEOUT_SECONDS)
         listener.write_response(
             request, response.status, response.body, response.content_type
         )
