Return freed memory of the C library's allocator to the system

What was seen: beside 50 MB of bodies that were counted (memory_mb 300), the largest memory of an instance was 166 to 239 MB. Cause: glibc keeps up to eight arenas for each core, each keeps what its threads freed, and its threshold for blocks of their own rises to the size of the largest body that was freed.

--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -24,6 +24,7 @@
 from quetzalgauge.core import node
 from quetzalgauge.core import orders
 from quetzalgauge.core import requests
+from quetzalgauge.node import allocator
 from quetzalgauge.node import buffer_memory
 from quetzalgauge.node import disconnect_watcher
 from quetzalgauge.node import election_client
@@ -559,6 +560,7 @@
 
 def run(path: pathlib.Path) -> int:
     """Runs an instance until it is stopped; returns the exit status."""
+    allocator.limit_unused_memory()
     threading.stack_size(THREAD_STACK_BYTES)
     try:
         config = settings.load(path)
