Bound the descriptors of the readiness and operator ports

Whole requests waited for a thread without a bound. At most 16 of them wait now, and 16 connections for the rest of a head (64 before); the oldest is closed for a new one.

--- a/src/quetzalgauge/node/status_server.py
+++ b/src/quetzalgauge/node/status_server.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import json
+import queue
 import socket
 from typing import Any
 
@@ -21,8 +22,10 @@
 _CONNECTION_TIMEOUT_SECONDS = 2
 # Time to take a response while other requests wait.
 _SHORT_WRITE_TIMEOUT_SECONDS = 0.05
-# Connections that may wait for the rest of a head, and for being accepted.
-_MAX_WAITING_CONNECTIONS = 64
+# Connections that may wait for the rest of a head, requests that may wait for a
+# thread, and connections that may wait for being accepted.
+_MAX_WAITING_CONNECTIONS = 16
+_MAX_WAITING_REQUESTS = 16
 _BACKLOG = 128
 _DEFAULT_THREADS = 3
 # How often the selector of cheroot wakes up to close idle connections.
@@ -150,16 +153,18 @@
             self.put_conn(conn)
             return
         try:
-            if conn.has_head():
-                self._waiting.pop(conn, None)
-                super().process_conn(conn)
-                return
+            has_head = conn.has_head()
         except OSError:
             conn.close()
             return
-        self.put_conn(conn)
-        # It has one timeout for all of the head.
-        conn.last_used = accepted_at
+        if not has_head:
+            self.put_conn(conn)
+            # It has one timeout for all of the head.
+            conn.last_used = accepted_at
+        else:
+            self._waiting.pop(conn, None)
+            self._drop_oldest_requests()
+            super().process_conn(conn)
 
     def _make_room(self) -> None:
         """Ends the oldest connections if too many wait."""
@@ -170,6 +175,12 @@
             with contextlib.suppress(OSError):
                 oldest.socket.shutdown(socket.SHUT_RDWR)
 
+    def _drop_oldest_requests(self) -> None:
+        """Closes the oldest connections if too many wait for a thread."""
+        with contextlib.suppress(queue.Empty):
+            while self.requests.qsize >= _MAX_WAITING_REQUESTS:
+                self.requests._queue.get_nowait().close()
+
     def forget(self, conn: _Connection) -> None:
         """Removes a connection that is closed."""
         self._waiting.pop(conn, None)
--- a/tests/test_status_server.py
+++ b/tests/test_status_server.py
@@ -11,7 +11,7 @@
 from quetzalgauge.node import status_server
 
 LONG_BODY = bytes(8_000_000)
-CROWD = 3 * status_server._MAX_WAITING_CONNECTIONS
+CROWD = 192
 
 
 @pytest.fixture
