--- a/src/quetzalgauge/node/buffer_memory.py
+++ b/src/quetzalgauge/node/buffer_memory.py
@@ -9,6 +9,9 @@
 RESPONSE_SHARE = 1 / 8
 # Share of the total that is left to the bodies of requests.
 REQUESTS_SHARE = 1 / 4
+# Share of the total that is left to requests whose body is short.
+SHORT_BODIES_SHARE = 1 / 16
+MAX_SHORT_BODY_BYTES = 65_536
 
 
 class BufferMemory:
@@ -26,6 +29,7 @@
         self.total_bytes = total_bytes
         self.max_response_bytes = int(total_bytes * RESPONSE_SHARE)
         self.reserved_bytes = int(total_bytes * REQUESTS_SHARE)
+        self.short_reserved_bytes = int(total_bytes * SHORT_BODIES_SHARE)
 
     @property
     def free_bytes(self) -> int:
@@ -60,7 +64,10 @@
 
     def take_for_request(self, size: int) -> bool:
         """Takes memory for a part of the request; returns False without it."""
-        if not self._memory.take(size):
+        is_short = self._size + size <= MAX_SHORT_BODY_BYTES
+        if not self._memory.take(
+            size, 0 if is_short else self._memory.short_reserved_bytes
+        ):
             return False
         self._size += size
         return True
@@ -76,6 +83,11 @@
         self._response_size += size
         return True
 
+    def give_back(self, size: int) -> None:
+        """Returns a part of what was taken for the request."""
+        self._size -= size
+        self._memory.give_back(size)
+
     def release(self) -> None:
         """Returns all that was taken."""
         size, self._size = self._size, 0
