--- a/src/quetzalgauge/node/connections.py
+++ b/src/quetzalgauge/node/connections.py
@@ -131,9 +131,14 @@
 
     Only requests that may be retried use them, since the server may close an
     idle connection at any time.
+
+    Args:
+        max_idle: Maximum number of connections, for all keys.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_idle: int) -> None:
+        self._max_idle = max_idle
+        self._idle_count = 0
         self._lock = threading.Lock()
         self._idle_connections: dict[str, list[tuple[float, Connection]]] = {}
         self._next_expiry_at = 0.0
@@ -153,6 +158,7 @@
                     idle_since, connection = entries[index]
                     if request_id not in connection.carried_ids:
                         del entries[index]
+                        self._idle_count -= 1
                         break
                 else:
                     return None
@@ -174,9 +180,11 @@
             entries = self._idle_connections.setdefault(key, [])
             if (
                 len(entries) < MAX_IDLE_PER_KEY
+                and self._idle_count < self._max_idle
                 and len(connection.carried_ids) <= MAX_CARRIED_IDS
             ):
                 entries.append((time.monotonic(), connection))
+                self._idle_count += 1
                 return
         connection.close()
 
@@ -207,6 +215,7 @@
                     self._idle_connections[key] = kept
                 else:
                     del self._idle_connections[key]
+            self._idle_count -= len(expired)
         for connection in expired:
             connection.close()
 
@@ -214,5 +223,6 @@
         """Closes all idle connections for a key."""
         with self._lock:
             entries = self._idle_connections.pop(key, [])
+            self._idle_count -= len(entries)
         for _, connection in entries:
             connection.close()
--- a/src/quetzalgauge/node/http_client.py
+++ b/src/quetzalgauge/node/http_client.py
@@ -212,7 +212,7 @@
             raise ConnectionResetError("connection is closed")
         parser = response_parser.ResponseParser()
         request = parser.make_request(
-            method, self._prefix + path, sent_headers.items(), data
+            method, self._prefix + path, sent_headers.items(), [data]
         )
         _set_timeout(sock, deadline)
         sock.sendall(b"".join(request))
--- a/src/quetzalgauge/node/listener.py
+++ b/src/quetzalgauge/node/listener.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import contextlib
 import datetime
+import enum
 import http.client
 import math
 import os
@@ -22,17 +23,15 @@
 import cheroot.connections
 import cheroot.server
 
-from quetzalgauge import exceptions
 from quetzalgauge import logs
 from quetzalgauge.core import configuration
+from quetzalgauge.node import buffer_memory
+from quetzalgauge.node import overload
+from quetzalgauge.node import request_body
 
 BACKLOG = 1024
-# Bounds of the connections that wait for their next request. The other
-# descriptors are for requests in progress, which need two or more.
-MAX_KEEP_ALIVE_CONNECTIONS = 3000
-KEEP_ALIVE_DESCRIPTOR_SHARE = 0.75
 # The pool starts with this many threads. It grows whenever fewer than
-# `SPARE_THREADS` are idle. A thread that reads a request is not idle.
+# `SPARE_THREADS` are idle.
 INITIAL_THREADS = 24
 SPARE_THREADS = 8
 # A caller may pause for this long while it receives a response.
@@ -44,14 +43,20 @@
 LINGER_SECONDS = 2.0
 # Pause after a connection could not be accepted.
 ACCEPT_RETRY_SECONDS = 0.01
+# Connections that are accepted before others are read.
+MAX_ACCEPTED_PER_PASS = 64
+# Interval at which unfinished requests are checked.
+CHECK_INTERVAL_SECONDS = 0.05
 
 _HEADER_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _REQUEST_TARGET = re.compile(rb"[!-~]+\Z")
 _HEADER_VALUE = re.compile(rb"[\t -~\x80-\xff]*\Z")
 _CONTENT_LENGTH = re.compile(rb"[0-9]{1,15}\Z")
-_CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})(?:[ \t]*;[^\r\n]*)?\r\n\Z")
-_MAX_CHUNK_LINE_BYTES = 4096
-_DISCARD_BYTES = 65_536
+# Where a head ends, or an invalid line in it.
+_HEAD_SUFFIX = b"\r\n\r\n"
+_HEAD_END = re.compile(_HEAD_SUFFIX + rb"|(?<!\r)\n")
+_HEAD_READ_BYTES = 8192
+_BODY_READ_BYTES = 65_536
 _CRLF = b"\r\n"
 
 _log = logs.get_logger("listener")
@@ -111,7 +116,12 @@
 
 
 class Request(cheroot.server.HTTPRequest):
-    """A request of a caller."""
+    """A request of a caller.
+
+    Attributes:
+        body_reader: Collects the body, None before the head was parsed.
+        reservation: The memory that the request and its response take.
+    """
 
     header_reader = _HeaderReader()
 
@@ -120,6 +130,8 @@
     ) -> None:
         super().__init__(server, conn, *args, **kwargs)
         self.inheaders = _HeaderDict()
+        self.body_reader: request_body.BodyReader | None = None
+        self.reservation: buffer_memory.Reservation = conn.reservation
 
     @property
     def header_pairs(self) -> list[tuple[str, str]]:
@@ -128,10 +140,7 @@
         return pairs
 
     def parse_request(self) -> None:
-        """Reads the request line and the headers."""
-        limits = self.server.limits()
-        sock = self.conn.socket
-        sock.settimeout(limits.header_timeout.total_seconds())
+        """Parses the request line and the headers."""
         super().parse_request()
         if self.ready and self._has_close_option():
             self.close_connection = True
@@ -145,13 +154,6 @@
             self.ready = False
             self.simple_response("400 Bad Request")
 
-    def read_request_line(self) -> bool:
-        """Reads the request line; returns whether there is a valid one."""
-        is_valid: bool = super().read_request_line()
-        if is_valid:
-            self.conn.begin_request()
-        return is_valid
-
     def _has_close_option(self) -> bool:
         value = self.inheaders.get(b"Connection", b"").lower()
         return b"close" in [part.strip() for part in value.split(b",")]
@@ -161,7 +163,7 @@
         status_code = int(str(status)[:3])
         if status_code == 413:
             # Cheroot uses 413 for headers that are too long; the length of
-            # the body is checked in `read_body`.
+            # the body is checked with the body.
             status_code = 431
         self.close_connection = True
         self.conn.must_linger = True
@@ -180,118 +182,27 @@
             self.simple_response(500)
 
     def respond(self) -> None:
-        """Handles the request."""
-        self.server.serve_request(self)
+        """Handles the request once its body has been received."""
+        if self.conn.receive_body(self):
+            self.server.serve_request(self)
 
-    def read_body(self, take_memory: Callable[[int], bool]) -> bytes:
-        """Reads the body.
-
-        Args:
-            take_memory: Takes memory for a number of bytes; returns False if
-                there is none.
+    def get_body(self) -> list[bytearray]:
+        """Returns the body in parts.
 
         Raises:
-            BodyError: The body is too long, malformed or incomplete, did not
-                arrive in time, or there is no memory for it.
+            request_body.BodyError: The body is too long, malformed or
+                incomplete, did not arrive in time, or there is no memory for
+                it.
         """
+        assert self.body_reader is not None
         try:
-            return self._read_body(take_memory)
-        except BodyError as error:
+            return self.body_reader.get_body()
+        except request_body.BodyError as error:
             if not error.was_read:
                 self.close_connection = True
                 self.conn.must_linger = True
             raise
 
-    def _read_body(self, take_memory: Callable[[int], bool]) -> bytes:
-        limits = self.server.limits()
-        self.conn.socket.settimeout(limits.header_timeout.total_seconds())
-        try:
-            if b"Transfer-Encoding" in self.inheaders:
-                return _read_chunked_body(
-                    self.conn.rfile, limits.max_body_bytes, take_memory
-                )
-            length = int(self.inheaders.get(b"Content-Length", b"0"))
-            if length > limits.max_body_bytes:
-                raise BodyError(413, "the body is too long")
-            if not take_memory(length):
-                _discard(self.conn.rfile, length)
-                raise _make_memory_error()
-            body: bytes = self.conn.rfile.read(length) if length else b""
-        except TimeoutError:
-            raise BodyError(408, "the body did not arrive in time") from None
-        except OSError as error:
-            raise BodyError(400, str(error)) from error
-        if len(body) < length:
-            raise BodyError(400, "the body is incomplete")
-        return body
-
-
-class BodyError(exceptions.QuetzalgaugeError):
-    """The body of a request cannot be read.
-
-    Attributes:
-        status: HTTP status of the refusal.
-        was_read: Whether the body was read to its end, so that the connection
-            can serve another request.
-    """
-
-    def __init__(
-        self, status: int, message: str, was_read: bool = False
-    ) -> None:
-        super().__init__(message)
-        self.status = status
-        self.was_read = was_read
-
-
-def _make_memory_error() -> BodyError:
-    return BodyError(503, "no memory for the body", was_read=True)
-
-
-def _discard(rfile: Any, size: int) -> None:
-    while size:
-        data = rfile.read(min(size, _DISCARD_BYTES))
-        if not data:
-            raise BodyError(400, "the body is incomplete")
-        size -= len(data)
-
-
-def _read_chunked_body(
-    rfile: Any, limit: int, take_memory: Callable[[int], bool]
-) -> bytes:
-    chunks = []
-    total = 0
-    has_memory = True
-    while True:
-        match = _CHUNK_SIZE_LINE.match(_read_chunk_line(rfile))
-        if match is None:
-            raise BodyError(400, "a chunk size is malformed")
-        size = int(match.group(1), 16)
-        if size == 0:
-            break
-        total += size
-        if total > limit:
-            raise BodyError(413, "the body is too long")
-        has_memory = has_memory and take_memory(size)
-        if not has_memory:
-            _discard(rfile, size)
-            size = 0
-        data = rfile.read(size + 2)
-        if len(data) < size + 2 or data[-2:] != _CRLF:
-            raise BodyError(400, "a chunk is malformed")
-        chunks.append(data[:-2])
-    while _read_chunk_line(rfile) != _CRLF:
-        pass  # Trailers are ignored; nothing here uses them.
-    if not has_memory:
-        raise _make_memory_error()
-    return b"".join(chunks)
-
-
-def _read_chunk_line(rfile: Any) -> bytes:
-    line: bytes = rfile.readline(_MAX_CHUNK_LINE_BYTES)
-    if not line.endswith(_CRLF):
-        raise BodyError(400, "a line of a chunked body is malformed")
-    return line
-
 
 def set_reset_on_close(sock: socket.socket, is_set: bool) -> None:
     """Sets whether a close resets the connection, also one by the kernel.
@@ -303,17 +214,6 @@
     )
 
 
-def _discard_rest(sock: socket.socket) -> None:
-    """Ends the sending half and reads until the peer ends its own."""
-    deadline = time.monotonic() + LINGER_SECONDS
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_WR)
-        while (remaining := deadline - time.monotonic()) > 0:
-            sock.settimeout(remaining)
-            if not sock.recv(_DISCARD_BYTES):
-                return
-
-
 def _can_read_data(sock: socket.socket) -> bool:
     """Returns whether a read returns data at once; the end is no data."""
     try:
@@ -328,38 +228,274 @@
     return bool(poller.poll(0))
 
 
+class _Received:
+    """What was received on a connection and is not used yet.
+
+    It is the file from which cheroot reads a head.
+
+    Attributes:
+        data: The bytes.
+        has_timed_out: Whether the rest of a head did not arrive in time.
+    """
+
+    bytes_read = 0
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+        self.has_timed_out = False
+        self.closed = False
+        self._searched_bytes = 0
+        self._has_head = False
+
+    def has_data(self) -> bool:
+        """Returns whether there are bytes."""
+        return bool(self.data)
+
+    def has_head(self, max_bytes: int) -> bool:
+        """Returns whether a head can be parsed, or is known to be invalid."""
+        if not self._has_head:
+            # The end may have been received in part.
+            start = max(0, self._searched_bytes - len(_HEAD_SUFFIX))
+            self._searched_bytes = len(self.data)
+            self._has_head = (
+                _HEAD_END.search(self.data, start) is not None
+                or len(self.data) > max_bytes
+            )
+        return self._has_head
+
+    def readline(self, size: int) -> bytes:
+        """Returns a line, or what there is of it.
+
+        Raises:
+            TimeoutError: The rest of it did not arrive in time.
+        """
+        end = self.data.find(b"\n", 0, size) + 1
+        if not end and len(self.data) < size and self.has_timed_out:
+            raise TimeoutError("timed out")
+        end = end or min(size, len(self.data))
+        line = bytes(self.data[:end])
+        del self.data[:end]
+        self._searched_bytes = 0
+        self._has_head = False
+        return line
+
+    def close(self) -> None:
+        """Drops the bytes."""
+        self.closed = True
+        self.data.clear()
+
+
+class _Writer:
+    """The file to which cheroot writes interim responses."""
+
+    bytes_written = 0
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+
+    def write(self, data: bytes) -> None:
+        """Writes data."""
+        self._sock.sendall(data)
+
+
+class _Progress(enum.Enum):
+    """What follows when a connection was read."""
+
+    WAITING = "waiting"  # For more.
+    READY = "ready"  # A worker goes on.
+    ENDED = "ended"  # Nothing can be read any more.
+
+
 class _Connection(cheroot.server.HTTPConnection):
     """A connection of a caller.
 
+    The thread that waits for connections reads requests; a worker gets their
+    heads, and then the request once it was received whole. Of the two, only the
+    one that has the connection now may use it.
+
     Attributes:
         is_new: Whether nothing has been received on it yet.
         must_reset: Whether to reset the connection instead of closing it.
         must_linger: Whether a part of a request was not read, so that a close
             has to wait for it.
+        reservation: The memory that its request and the response take.
+        cost: See `overload.Usage`.
+        has_served: See `overload.Usage`.
+        is_refused: See `overload.Usage`.
+        deadline: When the wait for the rest of a request, or for the end of a
+            refused one, is over, in seconds of the steady clock.
     """
 
-    RequestHandlerClass = Request
-
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
+    def __init__(self, server: Any, sock: Any, makefile: Any) -> None:
+        self._received = _Received()
+        super().__init__(
+            server,
+            sock,
+            lambda sock, mode, size: (
+                self._received if "r" in mode else _Writer(sock)
+            ),
+        )
+        # They refer to the connection, which would be freed late.
+        del self.resolve_peer_creds, self.get_peer_creds
         self._has_begun = False
+        # The request whose body is awaited.
+        self._request: Request | None = None
+        self._body_deadline = math.inf
+        self._is_costly = False
         self.is_new = True
         self.must_reset = False
         self.must_linger = False
+        self.reservation = buffer_memory.Reservation(server.memory)
+        self.cost = 0
+        self.has_served = False
+        self.is_refused = False
+        self.deadline = math.inf
 
-    def begin_request(self) -> None:
-        """Records that a request line was read."""
-        if not self._has_begun:
-            self._has_begun = True
-            self.server.begin_request()
+    RequestHandlerClass = Request
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a part of a request was received."""
+        return self._request is not None or self._received.has_data()
+
+    @property
+    def allocated_bytes(self) -> int:
+        """Memory that the body of its unfinished request takes."""
+        request = self._request
+        if (
+            request is None
+            or request.body_reader is None
+            or request.body_reader.is_done
+        ):
+            return 0
+        return request.body_reader.allocated_bytes
+
+    @property
+    def head_bytes(self) -> int:
+        """Memory that what was received of a head takes."""
+        return 0 if self._request else len(self._received.data)
 
     def has_data(self) -> bool:
         """Returns whether data was received that was not read yet."""
-        return self.rfile.has_data() or _can_read_data(self.socket)
+        return self._received.has_data() or _can_read_data(self.socket)
+
+    def receive(self) -> _Progress:
+        """Reads without waiting, and parses what was received."""
+        size = _HEAD_READ_BYTES
+        # The parts of a costly body are short, so that others need not wait.
+        if self._request is not None and not self._is_costly:
+            size = _BODY_READ_BYTES
+        try:
+            data = os.read(self.socket.fileno(), size)
+        except BlockingIOError:
+            return _Progress.WAITING
+        except OSError:
+            return _Progress.ENDED
+        self.cost += len(data)
+        if self.is_refused:
+            return _Progress.WAITING if data else _Progress.ENDED
+        if data:
+            self._received.data += data
+            return self.examine()
+        if not self.is_unfinished:
+            return _Progress.ENDED
+        if self._request is not None:
+            self._fail_body(400, "the body is incomplete")
+        return _Progress.READY
+
+    def examine(self) -> _Progress:
+        """Parses what was received."""
+        if self._request is not None:
+            is_ready = self._collect_body(self._request)
+        else:
+            is_ready = self._received.has_head(
+                self.server.max_request_header_size
+            )
+            if not self._has_begun and b"\n" in self._received.data:
+                self._has_begun = True
+                self.server.begin_request()
+            if self.deadline == math.inf and not is_ready:
+                self.deadline = time.monotonic() + self._get_header_timeout()
+        return _Progress.READY if is_ready else _Progress.WAITING
+
+    def receive_body(self, request: Request) -> bool:
+        """Takes what was received of a body; returns whether that is all.
+
+        Otherwise, the request is handled when the rest was received.
+        """
+        self.deadline = math.inf
+        request.body_reader = request_body.make_body_reader(
+            request.inheaders, self.server.limits(), self.reservation
+        )
+        if request.body_reader.is_done:
+            return True
+        self._request = request
+        self._body_deadline = (
+            time.monotonic() + self.server.body_timeout.total_seconds()
+        )
+        is_whole = True
+        try:
+            is_whole = self._collect_body(request)
+        finally:
+            if is_whole:
+                self._request = None
+        return is_whole
+
+    def _collect_body(self, request: Request) -> bool:
+        assert request.body_reader is not None
+        with self.server.body_lock:
+            received = len(self._received.data)
+            cost = request.body_reader.feed(self._received.data)
+            self._is_costly = cost > 2 * received
+            self.cost += cost
+            while not request.body_reader.take_memory():
+                self.server.discard_largest_body(self)
+        self.deadline = min(
+            time.monotonic() + self._get_header_timeout(), self._body_deadline
+        )
+        return request.body_reader.is_done
+
+    def _get_header_timeout(self) -> float:
+        seconds: float = self.server.limits().header_timeout.total_seconds()
+        return seconds
+
+    def discard_body(self) -> None:
+        """Drops the body of its unfinished request; `body_lock` is held."""
+        if self._request is not None and self._request.body_reader is not None:
+            self._request.body_reader.discard()
+
+    def _fail_body(self, status: int, message: str) -> None:
+        assert self._request is not None
+        assert self._request.body_reader is not None
+        with self.server.body_lock:
+            self._request.body_reader.fail(status, message)
+
+    def postpone_deadline(self, now: float) -> bool:
+        """Returns whether data was received that is read before the deadline.
+
+        Args:
+            now: The time of the steady clock in seconds.
+        """
+        if not _can_read_data(self.socket):
+            return False
+        if self._request is None:
+            return self.receive() is _Progress.READY
+        self.deadline = min(
+            now + self._get_header_timeout(), self._body_deadline
+        )
+        return self.deadline > now
+
+    def time_out(self) -> None:
+        """Ends the wait for the rest of a request."""
+        if self._request is not None:
+            self._fail_body(408, "the body did not arrive in time")
+        else:
+            self._received.has_timed_out = True
 
     def close(self) -> None:
         """Closes the connection."""
         self._finish_request()
+        self.reservation.release()
         super().close()
 
     def _finish_request(self) -> None:
@@ -376,28 +512,52 @@
         set_reset_on_close(self.socket, True)
 
     def communicate(self) -> bool:
-        """Reads and handles a request; returns whether to keep it open."""
+        """Handles what was received; returns whether to keep it open."""
         keeps_open = False
         try:
-            keeps_open = super().communicate()
+            keeps_open = self._go_on()
             # A close with data unread discards what was not sent yet.
             if not (keeps_open or self.must_reset) and (
                 self.must_linger or self.has_data()
             ):
-                # The thread is counted as busy meanwhile.
-                _discard_rest(self.socket)
+                keeps_open = self._begin_to_linger()
         finally:
-            # Requests behind another count as one with it: the process must not
-            # exit between them.
-            if not (keeps_open and self.server.has_request_behind(self)):
-                self._finish_request()
+            if self._request is None:
+                self.reservation.release()
+                # Requests behind another count as one with it: the process must
+                # not exit between them.
+                if not keeps_open or not (
+                    self.is_refused or self.server.has_request_behind(self)
+                ):
+                    self._finish_request()
             if not keeps_open:
                 self.server.finish_connection()
         return keeps_open
 
+    def _go_on(self) -> bool:
+        """Handles a request; returns whether to read from the connection."""
+        request, self._request = self._request, None
+        if request is None:
+            keeps_open: bool = super().communicate()
+            if self._request is not None:
+                return True
+        else:
+            self.server.serve_request(request)
+            keeps_open = not request.close_connection
+        self.has_served = True
+        self.cost = 0
+        return keeps_open
 
-class _StopRequestedError(exceptions.QuetzalgaugeError):
-    """A `_StopRequest` was received."""
+    def _begin_to_linger(self) -> bool:
+        """Ends the sending half; returns whether to wait for the peer's."""
+        self.is_refused = True
+        self._received.close()
+        self.deadline = time.monotonic() + LINGER_SECONDS
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            return False
+        return True
 
 
 class _StopRequest:
@@ -414,36 +574,206 @@
 
 
 class _ConnectionManager(cheroot.connections.ConnectionManager):
-    """Waits for new connections and for data on idle ones."""
+    """Waits for new connections, reads requests and closes idle connections."""
 
     _selector: Any
+    _stop_requested: bool
+    _num_connections: int
 
     def __init__(self, server: Any) -> None:
         super().__init__(server)
         self._can_accept = True
         self._stop_request = _StopRequest()
+        # Connections that wait for the rest of a request.
+        self._unfinished: set[_Connection] = set()
+        self._next_check_at = -math.inf
 
     def request_stop(self) -> None:
-        """Makes the thread that waits pass a `_StopRequest` to the server."""
+        """Makes the thread that waits close idle connections."""
         self._selector.register(
             self._stop_request.descriptor,
             selectors.EVENT_READ,
             data=self._stop_request,
         )
 
+    def put(self, conn: _Connection) -> None:
+        """Waits for data on a connection, or passes on what it has."""
+        conn.last_used = time.time()
+        if conn.is_unfinished and conn.examine() is _Progress.READY:
+            self.server.process_conn(conn)
+            return
+        if conn.is_unfinished or conn.is_refused:
+            self._unfinished.add(conn)
+        self._selector.register(
+            conn.socket.fileno(), selectors.EVENT_READ, data=conn
+        )
+
+    def put_last(self, conn: _Connection) -> None:
+        """Like `put` after the listener has closed.
+
+        Closes the connection if no request on it has begun.
+        """
+        if not (conn.is_unfinished or conn.is_refused):
+            progress = _Progress.ENDED
+            if conn.has_data():
+                progress = conn.receive()
+            if progress is _Progress.ENDED or not conn.is_unfinished:
+                conn.close()
+                return
+        self.put(conn)
+
     def _run(self, expiration_interval: float) -> None:
-        # The loop must not go on with connections that are closed here.
-        try:
-            super()._run(expiration_interval)  # type: ignore[misc]
-        except _StopRequestedError:
+        next_expiry_at = time.monotonic() + expiration_interval
+        while not self._stop_requested:
+            timeout = expiration_interval
+            if self._unfinished:
+                timeout = min(timeout, CHECK_INTERVAL_SECONDS)
+            try:
+                ready = list(self._selector.select(timeout=timeout))
+            except OSError:
+                self._remove_invalid_sockets()  # type: ignore[attr-defined]
+                continue
+            self._handle_ready([entry for _, entry in ready])
+            now = time.monotonic()
+            if self._unfinished and now >= self._next_check_at:
+                self._next_check_at = now + CHECK_INTERVAL_SECONDS
+                self._check_unfinished(now)
+            if now >= next_expiry_at:
+                next_expiry_at = now + expiration_interval
+                self._expire(time.time() - self.server.timeout)
+
+    def _handle_ready(self, ready: list[Any]) -> None:
+        if self._stop_request in ready:
+            # The connections that are ready may be closed here.
+            self._selector.unregister(self._stop_request.descriptor)
+            self._stop_request.close()
             self.close_idle()
             self.server.finish_close()
+            return
+        connections = [entry for entry in ready if entry is not self.server]
+        if len(connections) < len(ready):
+            self._accept(is_busy=bool(connections))
+        if len(connections) > 1:
+            connections = overload.sort_by_cost(connections)
+        cost = 0
+        for connection in connections:
+            cost += self._read(connection)
+            if cost > overload.MAX_COST_PER_PASS:
+                break
+
+    def _accept(self, is_busy: bool) -> None:
+        """Accepts connections, several while others are read."""
+        for _ in range(MAX_ACCEPTED_PER_PASS if is_busy else 1):
+            connection = self._from_server_socket(self.server.socket)
+            if connection is None:
+                break
+            self.server.process_conn(connection)
+            self._close_excess()
+            if not is_busy or not _is_readable(self.server.socket):
+                break
+
+    def _close_excess(self) -> None:
+        """Closes connections if there are too many."""
+        limit = self.server.max_connections
+        excess = self._num_connections + self.server.open_count - limit
+        if excess <= 0:
+            return
+        waiting = [
+            connection
+            for _, connection in self._selector.connections
+            if isinstance(connection, _Connection)
+        ]
+        for connection in overload.choose_to_close(waiting, excess, limit):
+            # A request may have arrived on one that is idle.
+            if (
+                connection.is_refused
+                or connection.is_unfinished
+                or not connection.has_data()
+            ):
+                self._close(connection, "too_many")
+
+    def _close(self, connection: _Connection, reason: str) -> None:
+        """Closes a connection that waits."""
+        if self._unregister(connection):
+            self.server.count_closed(reason)
+            connection.close()
+
+    def _unregister(self, connection: _Connection) -> bool:
+        """Returns whether the connection has been waited for."""
+        try:
+            self._selector.unregister(connection.socket.fileno())
+        except (KeyError, ValueError):
+            return False
+        self._unfinished.discard(connection)
+        return True
+
+    def _read(self, connection: _Connection) -> int:
+        """Reads from a connection that waits; returns the cost."""
+        cost = connection.cost
+        try:
+            progress = connection.receive()
+        except Exception:
+            _log.exception("a connection cannot be read")
+            progress = _Progress.ENDED
+        if progress is _Progress.WAITING:
+            if connection.is_unfinished:
+                self._unfinished.add(connection)
+        elif self._unregister(connection):
+            if progress is _Progress.READY:
+                self.server.process_conn(connection)
+            else:
+                connection.close()
+        return int(connection.cost - cost)
+
+    def _check_unfinished(self, now: float) -> None:
+        """Ends waits that are over."""
+        for connection in list(self._unfinished):
+            # A worker may be about to register it.
+            if connection.deadline > now or not self._unregister(connection):
+                continue
+            if connection.is_refused:
+                connection.close()
+                continue
+            # The rest may have arrived while this thread did not run.
+            if connection.postpone_deadline(now):
+                self.put(connection)
+                continue
+            connection.time_out()
+            self.server.process_conn(connection)
+        self._limit_heads()
+        self._close_excess()
+
+    def _limit_heads(self) -> None:
+        """Closes connections if unfinished heads take too much memory."""
+        limit = self.server.max_head_bytes
+        if len(self._unfinished) * self.server.max_request_header_size < limit:
+            return
+        connections = list(self._unfinished)
+        total = sum(connection.head_bytes for connection in connections)
+        if total <= limit:
+            return
+        connections.sort(key=lambda connection: connection.head_bytes)
+        while total > limit:
+            connection = connections.pop()
+            total -= connection.head_bytes
+            self._close(connection, "no_memory")
+
+    def discard_largest_body(self, connection: _Connection) -> None:
+        """Drops the largest body of unfinished requests, or that of this one.
+
+        `body_lock` is held.
+        """
+        largest = overload.choose_largest(
+            [connection, *self._unfinished.copy()]
+        )
+        (largest or connection).discard_body()
 
     def close_idle(self) -> None:
         """Accepts the last connections and closes all that have no data.
 
         Only the thread that waits may call this.
         """
+        self.server.begin_to_close_idle()
         listening = self.server.socket
         self._selector.unregister(listening)
         while _is_readable(listening) and (
@@ -451,25 +781,29 @@
         ):
             self.server.process_conn(connection)
         listening.close()
-        for descriptor, connection in list(self._selector.connections):
-            self._selector.unregister(descriptor)
-            # Only connections that a worker has keep the process running.
+        for _, connection in list(self._selector.connections):
+            if connection.is_unfinished or connection.is_refused:
+                continue
+            # Only requests keep the process running.
             if connection.has_data():
-                self.server.process_conn(connection)
-            else:
+                self._read(connection)
+            elif self._unregister(connection):
                 connection.close()
 
     def _expire(self, threshold: float) -> None:
         expired = [
-            (descriptor, connection)
-            for descriptor, connection in self._selector.connections
+            connection
+            for _, connection in self._selector.connections
             if connection is not self.server
             and connection.last_used < threshold
         ]
-        for descriptor, connection in expired:
+        for connection in expired:
             # A request may have arrived since the connections were polled.
-            if not connection.has_data():
-                self._selector.unregister(descriptor)
+            if (
+                not connection.is_unfinished
+                and not connection.has_data()
+                and self._unregister(connection)
+            ):
                 connection.close()
 
     def _from_server_socket(self, server_socket: Any) -> Any:
@@ -498,10 +832,14 @@
         address: Host and port.
         limits: Returns the limits for requests of callers.
         max_threads: Maximum number of worker threads.
-        max_descriptors: File descriptors available to the process.
+        descriptors: What the descriptors of the process are used for.
         handle_request: Called in a worker thread with each request.
         count_invalid: Called with the status and the message of each response
             to invalid HTTP.
+        memory: Memory for the bodies of requests and responses.
+        count_closed: Called with the reason when a connection is closed because
+            there are too many or too little memory.
+        body_timeout: The time in which a whole body has to arrive.
     """
 
     ConnectionClass = _Connection
@@ -513,9 +851,12 @@
         address: tuple[str, int],
         limits: Callable[[], configuration.CallerLimits],
         max_threads: int,
-        max_descriptors: int,
+        descriptors: overload.DescriptorLimits,
         handle_request: Callable[[Request], None],
         count_invalid: Callable[[int, str], None],
+        memory: buffer_memory.BufferMemory,
+        count_closed: Callable[[str], None],
+        body_timeout: datetime.timedelta = overload.DEFAULT_BODY_TIMEOUT,
     ) -> None:
         super().__init__(
             address,
@@ -523,16 +864,21 @@
             minthreads=min(INITIAL_THREADS, max_threads),
             maxthreads=max_threads,
         )
-        self.keep_alive_conn_limit = min(
-            MAX_KEEP_ALIVE_CONNECTIONS,
-            int(max_descriptors * KEEP_ALIVE_DESCRIPTOR_SHARE),
-        )
+        self.keep_alive_conn_limit = descriptors.kept
+        self.max_connections = descriptors.waiting + descriptors.requests
         self.limits = limits
         self.count_invalid = count_invalid
+        self.count_closed = count_closed
+        self.memory = memory
+        self.max_head_bytes = int(memory.total_bytes * overload.HEAD_SHARE)
+        self.body_timeout = body_timeout
+        # Held while an unfinished body grows or is dropped.
+        self.body_lock = threading.Lock()
         self._handle_request = handle_request
         self._max_threads = max_threads
         self._must_grow = threading.Event()
         self._is_closed = False
+        self._closes_idle = False
         self._has_closed_idle = False
         self._open_count = 0
         self._request_count = 0
@@ -551,6 +897,11 @@
         super().stop()
         self._must_grow.set()
 
+    @property
+    def open_count(self) -> int:
+        """The number of connections that workers have, or are about to."""
+        return self._open_count
+
     @property
     def request_count(self) -> int:
         """The number of requests of which at least the first line was read."""
@@ -583,16 +934,10 @@
             )
 
     def process_conn(self, conn: Any) -> None:
-        """Passes a connection that has data to a worker.
+        """Passes a connection whose head or request is whole to a worker.
 
         A new connection has none yet. No thread waits for it.
-
-        Raises:
-            _StopRequestedError: A `_StopRequest` stands in its place.
         """
-        if isinstance(conn, _StopRequest):
-            conn.close()
-            raise _StopRequestedError
         if conn.is_new:
             conn.is_new = False
             self._wait_for_data(conn)
@@ -603,6 +948,20 @@
                     self._must_grow.set()
             super().process_conn(conn)
 
+    def discard_largest_body(self, conn: _Connection) -> None:
+        """Drops the body of an unfinished request; `body_lock` is held.
+
+        Args:
+            conn: Whose request needs memory. It loses its own body if no other
+                one takes more.
+        """
+        self._connections.discard_largest_body(conn)
+
+    def begin_to_close_idle(self) -> None:
+        """Records that connections that become idle from now on are closed."""
+        with self._condition:
+            self._closes_idle = True
+
     def finish_close(self) -> None:
         """Records that idle connections were closed."""
         with self._condition:
@@ -619,14 +978,10 @@
     def _wait_for_data(self, conn: Any) -> None:
         """Waits for data on a connection; closes it at the end."""
         with self._condition:
-            if not self._is_closed:
+            if not self._closes_idle:
                 super().put_conn(conn)
                 return
-        # Only connections that a worker has keep the process running.
-        if conn.has_data():
-            self.process_conn(conn)
-        else:
-            conn.close()
+        self._connections.put_last(conn)
 
     def begin_request(self) -> None:
         """Records that the first line of a request was read."""
--- a/src/quetzalgauge/node/metrics.py
+++ b/src/quetzalgauge/node/metrics.py
@@ -53,6 +53,12 @@
             ["reason"],
             registry=registry,
         )
+        self._closed_connections = prometheus_client.Counter(
+            "quetzalgauge_closed_connections",
+            "Connections of callers that were closed to bound what they take.",
+            ["reason"],
+            registry=registry,
+        )
         self._attempt_failures = prometheus_client.Counter(
             "quetzalgauge_attempt_failures",
             "Failed attempts to send a request to a target.",
@@ -137,6 +143,10 @@
         """Counts a request that the serving system itself refused."""
         self._refusals.labels(reason, str(status)).inc()
 
+    def count_closed_connection(self, reason: str) -> None:
+        """Counts a connection of a caller that was closed."""
+        self._closed_connections.labels(reason).inc()
+
     def count_attempt_failure(self, failure: str) -> None:
         """Counts a failed attempt to send a request to a target."""
         self._attempt_failures.labels(failure).inc()
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -33,6 +33,7 @@
 from quetzalgauge.node import listener
 from quetzalgauge.node import metrics
 from quetzalgauge.node import order_dispatcher
+from quetzalgauge.node import overload
 from quetzalgauge.node import settings
 from quetzalgauge.node import slow_readers
 from quetzalgauge.node import status_server
@@ -125,6 +126,9 @@
         self._reload_requests: queue.SimpleQueue[None] = queue.SimpleQueue()
         # The file may have changed since it was read.
         self._reload_requests.put(None)
+        self._descriptors = overload.divide_descriptors(
+            config.max_descriptors, MAX_THREADS - RESERVED_THREADS
+        )
         machine = f"{config.instance}@{config.listen.host}"
         self._node = node.Node(
             node.Identity(
@@ -133,7 +137,7 @@
                 config.availability_zone,
                 str(config.link_listen),
             ),
-            _make_limits(config),
+            self._make_limits(config),
             config.lease,
             random.Random(),
             self._now(),
@@ -148,19 +152,23 @@
             (config.listen.host, config.listen.port),
             self._get_caller_limits,
             MAX_THREADS,
-            config.max_descriptors,
+            self._descriptors,
             worker.make_request_handler(
                 worker.WorkerContext(
                     self._now,
                     self._post_event,
                     self._active_requests,
                     self._disconnect_watcher,
-                    upstream.UpstreamClient(self._now, self._post_event),
+                    upstream.UpstreamClient(
+                        self._now,
+                        self._post_event,
+                        self._descriptors.idle_targets,
+                    ),
                     self._metrics,
                     memory,
                     slow_readers.make_slow_readers(
                         self._now,
-                        MAX_THREADS,
+                        self._descriptors.requests,
                         memory.total_bytes,
                         self._metrics.count_slow_readers,
                     ),
@@ -173,6 +181,9 @@
             lambda status_code, message: self._metrics.count_refusal(
                 "bad_request", status_code
             ),
+            memory,
+            self._metrics.count_closed_connection,
+            config.body_timeout,
         )
         self._links = links.Links(
             (config.link_listen.host, config.link_listen.port),
@@ -525,7 +536,15 @@
             _log.exception("the settings file cannot be read")
             return
         self._log.write("reload", {"changed": new_config != self._settings})
-        self._post_event(node.LimitsChanged(_make_limits(new_config)))
+        self._post_event(node.LimitsChanged(self._make_limits(new_config)))
+
+    def _make_limits(self, config: settings.Settings) -> gateway.Limits:
+        return gateway.Limits(
+            self._descriptors.requests,
+            config.retry_ratio,
+            config.retry_slack,
+            config.retry_window,
+        )
 
     def _make_dump_response(self) -> status_server.Response:
         request = _DumpRequest()
@@ -541,15 +560,6 @@
         return status_server.make_json_response(state)
 
 
-def _make_limits(config: settings.Settings) -> gateway.Limits:
-    return gateway.Limits(
-        MAX_THREADS - RESERVED_THREADS,
-        config.retry_ratio,
-        config.retry_slack,
-        config.retry_window,
-    )
-
-
 def _stat_signature(path: pathlib.Path) -> tuple[int, int]:
     try:
         file_status = path.stat()
--- a/src/quetzalgauge/node/response_parser.py
+++ b/src/quetzalgauge/node/response_parser.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 
 import h11
@@ -116,7 +117,7 @@
         method: str,
         uri: str,
         headers: Iterable[tuple[str, str]],
-        body: send_buffers.Buffer,
+        body: Sequence[send_buffers.Buffer],
     ) -> list[send_buffers.Buffer]:
         """Returns the bytes of the request whose response is parsed.
 
@@ -126,7 +127,7 @@
             method: HTTP method.
             uri: Path and query.
             headers: All headers but Content-Length.
-            body: The body.
+            body: The body, in parts.
 
         Raises:
             ValueError: The request cannot be sent in HTTP/1.1.
@@ -135,8 +136,9 @@
             (name.encode("latin-1"), value.strip(" \t").encode("latin-1"))
             for name, value in headers
         ]
-        if body or method in _METHODS_WITH_BODY:
-            sent_headers.append((b"Content-Length", b"%d" % len(body)))
+        length = sum(map(len, body))
+        if length or method in _METHODS_WITH_BODY:
+            sent_headers.append((b"Content-Length", b"%d" % length))
         try:
             head = self._connection.send(
                 h11.Request(
@@ -146,15 +148,15 @@
                 )
             )
             assert head is not None
-            if body:
+            for part in filter(None, body):
                 # With this length, the body is sent as it is.
                 self._connection.send_with_data_passthrough(
-                    h11.Data(data=body)  # type: ignore[arg-type]
+                    h11.Data(data=part)  # type: ignore[arg-type]
                 )
             self._connection.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise ValueError(f"request cannot be sent: {error}") from error
-        return [head, body]
+        return [head, *body]
 
     def feed(self, data: bytes) -> None:
         """Takes received bytes; empty when the peer has closed the connection.
--- a/src/quetzalgauge/node/settings.py
+++ b/src/quetzalgauge/node/settings.py
@@ -17,6 +17,7 @@
 from quetzalgauge import exceptions
 from quetzalgauge import findings
 from quetzalgauge import ids
+from quetzalgauge.node import overload
 
 Value = TypeVar("Value")
 
@@ -58,6 +59,7 @@
         drain_time: Time for which a draining target still accepts requests.
         apply_time: Time within which a configuration must be in force.
         stop_time: Time from SIGTERM to SIGKILL.
+        body_timeout: Time in which the whole body of a request has to arrive.
     """
 
     instance: ids.InstanceId
@@ -76,6 +78,7 @@
     drain_time: datetime.timedelta
     apply_time: datetime.timedelta
     stop_time: datetime.timedelta
+    body_timeout: datetime.timedelta = overload.DEFAULT_BODY_TIMEOUT
 
 
 def load(path: pathlib.Path) -> Settings:
@@ -145,6 +148,9 @@
         reader.get(
             "stop_time_s", _parse_seconds, datetime.timedelta(seconds=1)
         ),
+        reader.get_optional(
+            "body_timeout_s", _parse_seconds, overload.DEFAULT_BODY_TIMEOUT
+        ),
     )
 
 
@@ -162,6 +168,12 @@
     ) -> Value:
         if key not in self._value:
             self.errors.append(((key,), "is missing"))
+        return self.get_optional(key, convert, default)
+
+    def get_optional(
+        self, key: str, convert: Callable[[Any], Value], default: Value
+    ) -> Value:
+        if key not in self._value:
             return default
         try:
             return convert(self._value[key])
--- a/src/quetzalgauge/node/slow_readers.py
+++ b/src/quetzalgauge/node/slow_readers.py
@@ -17,8 +17,8 @@
 from quetzalgauge import logs
 from quetzalgauge.node import send_buffers
 
-# Share of the worker threads, and of the memory for bodies, that slow readers
-# may take.
+# Share of the requests in progress, and of the memory for bodies, that slow
+# readers may take.
 MAX_SHARE = 1 / 4
 # A caller that has been behind for less is not closed. It may be one of many
 # that got large responses at the same time.
@@ -171,7 +171,7 @@
 
 def make_slow_readers(
     now: clock.Clock,
-    max_threads: int,
+    max_requests: int,
     memory_bytes: int,
     count_closed: Callable[[str, int], None],
 ) -> SlowReaders:
@@ -179,13 +179,13 @@
 
     Args:
         now: The clock.
-        max_threads: Maximum number of worker threads.
+        max_requests: Requests that the process can carry at once.
         memory_bytes: Memory for bodies.
         count_closed: See `SlowReaders`.
     """
     return SlowReaders(
         now,
-        int(max_threads * MAX_SHARE),
+        int(max_requests * MAX_SHARE),
         int(memory_bytes * MAX_SHARE),
         count_closed,
     )
--- a/src/quetzalgauge/node/upstream.py
+++ b/src/quetzalgauge/node/upstream.py
@@ -14,6 +14,7 @@
 from collections.abc import Generator
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import select
@@ -78,14 +79,14 @@
         method: HTTP method.
         uri: Path and query as the caller sent them.
         headers: The caller's headers that are forwarded.
-        body: The body.
+        body: The body, in parts.
         request_id: The request id that the caller set.
     """
 
     method: str
     uri: str
     headers: tuple[tuple[str, str], ...]
-    body: send_buffers.Buffer
+    body: Sequence[send_buffers.Buffer]
     request_id: str
 
 
@@ -275,16 +276,18 @@
     Args:
         now: The clock.
         on_leaving: Called when a target states that it will terminate.
+        max_idle: Maximum number of idle connections to targets.
     """
 
     def __init__(
         self,
         now: clock.Clock,
         on_leaving: Callable[[targets.LeavingAnnounced], None],
+        max_idle: int,
     ) -> None:
         self._now = now
         self._on_leaving = on_leaving
-        self._pool = connections.ConnectionPool()
+        self._pool = connections.ConnectionPool(max_idle)
 
     def acquire_connection(
         self,
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -25,6 +25,7 @@
 from quetzalgauge.node import listener
 from quetzalgauge.node import metrics
 from quetzalgauge.node import read_timer
+from quetzalgauge.node import request_body
 from quetzalgauge.node import response_writer
 from quetzalgauge.node import slow_readers
 from quetzalgauge.node import streams
@@ -699,24 +700,15 @@
     local_ids = itertools.count(1)
 
     def serve(request: listener.Request) -> None:
-        reservation = buffer_memory.Reservation(context.memory)
-        try:
-            serve_within(request, reservation)
-        finally:
-            reservation.release()
-
-    def serve_within(
-        request: listener.Request, reservation: buffer_memory.Reservation
-    ) -> None:
         path = request.uri.partition(b"?")[0].decode("latin-1")
         sock: socket.socket = request.conn.socket
         writer = response_writer.ResponseWriter(
             request, context.closes_connections, context.readers
         )
         try:
-            body = request.read_body(reservation.take_for_request)
+            body = request.get_body()
             head = wire_headers.decode_request(request.header_pairs, path)
-        except listener.BodyError as error:
+        except request_body.BodyError as error:
             is_full = error.status == 503
             _refuse_early(
                 context,
@@ -753,7 +745,7 @@
                 outgoing_request,
                 active_request,
                 context,
-                reservation,
+                request.reservation,
                 bool(head.all_parts),
             ).run()
         finally:
--- a/tests/served_requests.py
+++ b/tests/served_requests.py
@@ -11,6 +11,7 @@
 from quetzalgauge.node import disconnect_watcher
 from quetzalgauge.node import listener
 from quetzalgauge.node import metrics
+from quetzalgauge.node import overload
 from quetzalgauge.node import slow_readers
 from quetzalgauge.node import upstream
 from quetzalgauge.node import worker
@@ -70,7 +71,7 @@
         post_event,
         active_requests,
         disconnect_watcher.DisconnectWatcher(lambda _: None),
-        upstream.UpstreamClient(now, lambda _: None),
+        upstream.UpstreamClient(now, lambda _: None, 100),
         process_metrics,
         memory,
         slow_readers.make_slow_readers(
@@ -85,9 +86,11 @@
         ("127.0.0.1", 0),
         configuration.CallerLimits,
         max_threads,
-        1000,
+        overload.divide_descriptors(1000, 100),
         worker.make_request_handler(context),
         lambda *_: None,
+        memory,
+        lambda _: None,
     )
     server.prepare()
     threading.Thread(target=server.serve, daemon=True).start()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -20,7 +20,7 @@
     """Guards against descriptors that run out after thousands of targets."""
     now = time.monotonic()
     monkeypatch.setattr(connections.time, "monotonic", lambda: now)
-    pool = connections.ConnectionPool()
+    pool = connections.ConnectionPool(1000)
     released = []
     for number in range(2000):
         now += 0.1
@@ -36,7 +36,7 @@
     """Guards against new connections for each request."""
     now = time.monotonic()
     monkeypatch.setattr(connections.time, "monotonic", lambda: now)
-    pool = connections.ConnectionPool()
+    pool = connections.ConnectionPool(1000)
     kept = FakeConnection()
     kept.is_connected = True
     for number in range(20):
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -14,7 +14,10 @@
 import served_requests
 
 from quetzalgauge.core import configuration
+from quetzalgauge.node import buffer_memory
 from quetzalgauge.node import listener
+from quetzalgauge.node import overload
+from quetzalgauge.node import request_body
 from quetzalgauge.node import response_writer
 
 LIMITS = configuration.CallerLimits(max_header_bytes=2000, max_body_bytes=9000)
@@ -23,8 +26,8 @@
 
 def handle_request(request):
     try:
-        request.read_body(lambda size: size < 5000)
-    except listener.BodyError as error:
+        request.get_body()
+    except request_body.BodyError as error:
         request.close_connection = True
         listener.write_response(request, error.status, str(error))
         return
@@ -36,9 +39,11 @@
         ("127.0.0.1", 0),
         lambda: LIMITS,
         60,
-        1000,
+        overload.divide_descriptors(1000, 100),
         handle_request,
         lambda *_: None,
+        buffer_memory.BufferMemory(5000),
+        lambda _: None,
     )
     server.prepare()
     return server
--- a/tests/test_probed_callers.py
+++ b/tests/test_probed_callers.py
@@ -15,7 +15,9 @@
 import urllib3
 
 from quetzalgauge.core import configuration
+from quetzalgauge.node import buffer_memory
 from quetzalgauge.node import listener
+from quetzalgauge.node import overload
 from quetzalgauge.node import response_writer
 
 BODY = b"id: 1\n\nid: 2\n\n"
@@ -44,9 +46,11 @@
             ("127.0.0.1", 0),
             configuration.CallerLimits,
             30,
-            1000,
+            overload.divide_descriptors(1000, 100),
             handle_request,
             lambda *_: None,
+            buffer_memory.make_buffer_memory(300),
+            lambda _: None,
         )
         server.prepare()
         servers.append(server)
--- a/tests/test_response_parser.py
+++ b/tests/test_response_parser.py
@@ -44,7 +44,7 @@
     A response into which another one was sent is not whole.
     """
     parser = response_parser.ResponseParser()
-    parser.make_request("POST", "/", [("Host", "a")], b"x")
+    parser.make_request("POST", "/", [("Host", "a")], [b"x"])
     offsets = [0, *sorted(split_offsets), len(data)]
     body = b""
     parts = [data[start:end] for start, end in itertools.pairwise(offsets)] + [
@@ -262,7 +262,7 @@
     """Guards against the rest of another response on the next request."""
     for rest, is_reusable in ((b"", True), (b"H", False), (b"\r\n", False)):
         parser = response_parser.ResponseParser()
-        parser.make_request("GET", "/", [("Host", "a")], b"")
+        parser.make_request("GET", "/", [("Host", "a")], [])
         parser.feed(frame([BODY], "length") + rest)
         assert parser.has_ended
         assert parser.can_reuse_connection is is_reusable
--- a/tests/test_stop_races.py
+++ b/tests/test_stop_races.py
@@ -10,7 +10,9 @@
 import pytest
 
 from quetzalgauge.core import configuration
+from quetzalgauge.node import buffer_memory
 from quetzalgauge.node import listener
+from quetzalgauge.node import overload
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 RESPONSE = b"HTTP/1.1 204 No Content\r\n\r\n"
@@ -45,9 +47,11 @@
         ("127.0.0.1", 0),
         configuration.CallerLimits,
         60,
-        1000,
+        overload.divide_descriptors(1000, 100),
         handler,
         lambda *_: None,
+        buffer_memory.make_buffer_memory(300),
+        lambda _: None,
     )
     running.prepare()
     threading.Thread(target=running.serve, daemon=True).start()
--- a/tests/test_thread_failures.py
+++ b/tests/test_thread_failures.py
@@ -17,8 +17,10 @@
 import pytest
 
 from quetzalgauge.core import configuration
+from quetzalgauge.node import buffer_memory
 from quetzalgauge.node import disconnect_watcher
 from quetzalgauge.node import listener
+from quetzalgauge.node import overload
 from quetzalgauge.platform import ingress
 from quetzalgauge.platform import standin
 from quetzalgauge.standins import local_cluster
@@ -209,9 +211,11 @@
         ("127.0.0.1", 0),
         configuration.CallerLimits,
         30,
-        1000,
+        overload.divide_descriptors(1000, 100),
         lambda request: listener.write_response(request, 204, ""),
         lambda *_: None,
+        buffer_memory.make_buffer_memory(300),
+        lambda _: None,
     )
     server.prepare()
     threading.Thread(target=server.serve, daemon=True).start()
@@ -249,9 +253,11 @@
             ("127.0.0.1", 0),
             configuration.CallerLimits,
             10 * count,
-            1000,
+            overload.divide_descriptors(1000, 100),
             handle,
             lambda *_: None,
+            buffer_memory.make_buffer_memory(300),
+            lambda _: None,
         )
         servers.append(server)
         server.prepare()
--- /dev/null
+++ b/tests/test_unfinished_requests.py
@@ -0,0 +1,236 @@
+"""Tests callers that do not send the whole of their requests."""
+
+import contextlib
+import datetime
+import socket
+import threading
+import time
+
+import pytest
+
+from quetzalgauge.core import configuration
+from quetzalgauge.node import buffer_memory
+from quetzalgauge.node import listener
+from quetzalgauge.node import overload
+from quetzalgauge.node import request_body
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+POST = b"POST / HTTP/1.1\r\nHost: a\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+RESPONSE = b"HTTP/1.1 204 No Content\r\n\r\n"
+PARTS = {
+    "line": POST[:10],
+    "head": POST,
+    "length": POST + b"Content-Length: 9\r\n\r\nx",
+    "size": CHUNKED + b"9",
+    "chunk": CHUNKED + b"99\r\nabc",
+    "trailers": CHUNKED + b"0\r\nA: b\r\n",
+}
+THREAD_COUNT = 30
+LONG = datetime.timedelta(seconds=30)
+SHORT = datetime.timedelta(seconds=0.4)
+
+
+def respond(request):
+    try:
+        request.get_body()
+    except request_body.BodyError as error:
+        request.close_connection = not error.was_read
+        listener.write_response(request, error.status, str(error))
+        return
+    request.conn.socket.sendall(RESPONSE)
+
+
+@contextlib.contextmanager
+def run_server(
+    header_timeout=LONG,
+    body_timeout=LONG,
+    memory_bytes=10_000_000,
+    max_descriptors=1000,
+):
+    closed = []
+    limits = configuration.CallerLimits(header_timeout=header_timeout)
+    server = listener.Server(
+        ("127.0.0.1", 0),
+        lambda: limits,
+        THREAD_COUNT,
+        overload.divide_descriptors(max_descriptors, 100),
+        respond,
+        lambda *_: None,
+        buffer_memory.BufferMemory(memory_bytes),
+        closed.append,
+        body_timeout,
+    )
+    server.closed_for = closed
+    server.prepare()
+    threading.Thread(target=server.serve, daemon=True).start()
+    try:
+        yield server
+    finally:
+        server.stop()
+
+
+@contextlib.contextmanager
+def connect(server, data=b""):
+    with socket.create_connection(server.bind_addr, timeout=5) as sock:
+        sock.sendall(data)
+        yield sock
+
+
+def exchange(server, data=REQUEST):
+    with connect(server, data) as sock:
+        return sock.recv(1000)
+
+
+def read_to_end(sock):
+    received = b""
+    while data := sock.recv(65536):
+        received += data
+    return received
+
+
+@pytest.mark.parametrize("part", PARTS)
+def test_unfinished_requests_take_no_threads(part):
+    """Guards against callers that wait since others send slowly.
+
+    Each unfinished request had a thread until a read timed out.
+    """
+    with run_server() as server, contextlib.ExitStack() as stack:
+        for _ in range(2 * THREAD_COUNT):
+            stack.enter_context(connect(server, PARTS[part]))
+        assert [exchange(server) for _ in range(3)] == 3 * [RESPONSE]
+
+
+@pytest.mark.parametrize("part", PARTS)
+@pytest.mark.parametrize("kind", ["silent", "slow"])
+def test_unfinished_requests_end(part, kind):
+    """Guards against callers that hold what they have for ever.
+
+    The timeout was for a read, so that a byte now and then began it anew.
+    """
+    # An unfinished line of a body must stay below its longest length.
+    rest = {"head": b"A: b\r\n", "trailers": b"A: b\r\n", "chunk": b"x"}
+    with (
+        run_server(header_timeout=SHORT, body_timeout=2 * SHORT) as server,
+        connect(server, PARTS[part]) as sock,
+    ):
+        sock.settimeout(0.1)
+        response = b""
+        for _ in range(60):
+            with contextlib.suppress(TimeoutError):
+                response = sock.recv(1000)
+                break
+            if kind == "slow":
+                sock.sendall(rest.get(part, b""))
+        assert response.startswith(b"HTTP/1.1 408 ")
+
+
+@pytest.mark.parametrize("part", ["length", "chunk"])
+def test_a_body_that_ends_with_its_connection_is_refused(part):
+    """Guards against a body that is passed on in part."""
+    with run_server() as server, connect(server, PARTS[part]) as sock:
+        sock.shutdown(socket.SHUT_WR)
+        assert read_to_end(sock).startswith(b"HTTP/1.1 400 ")
+
+
+def test_a_request_that_arrives_in_bytes_is_whole():
+    """Guards against parts that are lost between the threads."""
+    data = CHUNKED + b"3\r\nabc\r\n0\r\n\r\n" + REQUEST
+    with run_server() as server, connect(server) as sock:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for byte in data:
+            sock.sendall(bytes([byte]))
+            time.sleep(0.002)
+        response = b""
+        while len(response) < 2 * len(RESPONSE):
+            response += sock.recv(1000)
+        assert response == 2 * RESPONSE
+
+
+def test_a_large_unfinished_body_yields_its_memory():
+    """Guards against refusals since others hold memory for bodies.
+
+    The connection of the one that yields stays open.
+    """
+    large = POST + b"Content-Length: 80000\r\n\r\n" + b"x" * 80_000
+    small = POST + b"Content-Length: 40000\r\n\r\n" + b"x" * 40_000
+    with (
+        run_server(memory_bytes=100_000) as server,
+        connect(server, large[:-1]) as sock,
+    ):
+        wait_for(lambda: server.memory.free_bytes < 30_000)
+        assert exchange(server, small) == RESPONSE
+        sock.sendall(b"x")
+        assert sock.recv(1000).startswith(b"HTTP/1.1 503 ")
+        wait_for(lambda: server.memory.free_bytes == 100_000)
+
+
+def test_large_unfinished_heads_are_closed():
+    """Guards against heads that take memory without a bound."""
+    head = POST + b"A: " + b"b" * 10_000
+    with (
+        run_server(memory_bytes=100_000) as server,
+        contextlib.ExitStack() as stack,
+    ):
+        socks = [stack.enter_context(connect(server, head)) for _ in range(10)]
+        wait_for(lambda: len(server.closed_for) >= 6)
+        assert set(server.closed_for) == {"no_memory"}
+        assert exchange(server) == RESPONSE
+        # Those that are kept can still end their head.
+        answered = 0
+        for sock in socks:
+            with contextlib.suppress(OSError):
+                sock.sendall(b"\r\n\r\n")
+                answered += sock.recv(1000) == RESPONSE
+        assert answered == 10 - len(server.closed_for)
+
+
+@pytest.mark.parametrize("part", ["nothing", *PARTS])
+def test_too_many_connections_yield_to_new_ones(part):
+    """Guards against connections that take all descriptors."""
+    with (
+        run_server(max_descriptors=40) as server,
+        contextlib.ExitStack() as stack,
+    ):
+        for _ in range(60):
+            stack.enter_context(connect(server, PARTS.get(part, b"")))
+        assert exchange(server) == RESPONSE
+        wait_for(
+            lambda: (
+                server._connections._num_connections <= server.max_connections
+            )
+        )
+        assert set(server.closed_for) == {"too_many"}
+
+
+def wait_for(condition):
+    deadline = time.monotonic() + 5
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
+def test_what_arrived_during_a_stall_is_read():
+    """Guards against a timeout for which the caller is not to blame."""
+    with run_server(header_timeout=SHORT) as server:
+        select = server._connections._selector.select
+        is_stalled = threading.Event()
+
+        def select_late(timeout=None):
+            if is_stalled.is_set():
+                time.sleep(2 * SHORT.total_seconds())
+                is_stalled.clear()
+            return select(timeout)
+
+        server._connections._selector.select = select_late
+        for data in (
+            REQUEST,
+            POST + b"Content-Length: 5\r\n\r\nabcde",
+            CHUNKED + b"3\r\nabc\r\n0\r\n\r\n",
+        ):
+            with connect(server, data[:-2]) as sock:
+                time.sleep(0.1)
+                is_stalled.set()
+                time.sleep(0.1)
+                sock.sendall(data[-2:])
+                assert sock.recv(1000) == RESPONSE
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -65,8 +65,8 @@
     action = requests.Send(
         1, "t1", address, deadline, deadline, deadline, SECOND, True, False
     )
-    request = upstream.OutgoingRequest("GET", "/look/1", (), body, "r1")
-    client = upstream.UpstreamClient(now, lambda event: None)
+    request = upstream.OutgoingRequest("GET", "/look/1", (), [body], "r1")
+    client = upstream.UpstreamClient(now, lambda event: None, 100)
     connection, _ = client.acquire_connection(
         action, request.request_id, attempt
     )
