Leave places for requests on other connections

What callers saw: 503 too_many for 30 s and more beside 100 clients that send small requests ahead without reading the responses. Cause: a connection with a request behind the one that was answered went to a worker again at once, so such clients took each place that became free.

Requests that were received behind others now take three quarters of the places at most, one connection after the other. In calm they go on at once, as before.

--- a/src/quetzalgauge/node/listener.py
+++ b/src/quetzalgauge/node/listener.py
@@ -4,6 +4,7 @@
 an intermediary may parse it differently (request smuggling).
 """
 
+import collections
 from collections.abc import Callable
 import contextlib
 import datetime
@@ -587,6 +588,8 @@
         # Connections that wait for the rest of a request.
         self._unfinished: set[_Connection] = set()
         self._next_check_at = -math.inf
+        # Connections with a request behind the one that was answered last.
+        self._behind: collections.deque[_Connection] = collections.deque()
 
     def request_stop(self) -> None:
         """Makes the thread that waits close idle connections."""
@@ -600,7 +603,8 @@
         """Waits for data on a connection, or passes on what it has."""
         conn.last_used = time.time()
         if conn.is_unfinished and conn.examine() is _Progress.READY:
-            self.server.process_conn(conn)
+            self._behind.append(conn)
+            self._pass_on_behind()
             return
         if conn.is_unfinished or conn.is_refused:
             self._unfinished.add(conn)
@@ -608,6 +612,24 @@
             conn.socket.fileno(), selectors.EVENT_READ, data=conn
         )
 
+    def _pass_on_behind(self) -> None:
+        """Passes on requests that were received behind others.
+
+        They leave places for requests on other connections.
+        """
+        while self.server.open_count <= self.server.max_requests_behind:
+            try:
+                connection = self._behind.popleft()
+            except IndexError:
+                return
+            self.server.process_conn(connection)
+
+    def close(self) -> None:
+        """Closes all connections that no worker has."""
+        while self._behind:
+            self._behind.popleft().close()
+        super().close()
+
     def put_last(self, conn: _Connection) -> None:
         """Like `put` after the listener has closed.
 
@@ -626,7 +648,7 @@
         next_expiry_at = time.monotonic() + expiration_interval
         while not self._stop_requested:
             timeout = expiration_interval
-            if self._unfinished:
+            if self._unfinished or self._behind:
                 timeout = min(timeout, CHECK_INTERVAL_SECONDS)
             try:
                 ready = list(self._selector.select(timeout=timeout))
@@ -634,6 +656,7 @@
                 self._remove_invalid_sockets()  # type: ignore[attr-defined]
                 continue
             self._handle_ready([entry for _, entry in ready])
+            self._pass_on_behind()
             now = time.monotonic()
             if self._unfinished and now >= self._next_check_at:
                 self._next_check_at = now + CHECK_INTERVAL_SECONDS
@@ -675,7 +698,8 @@
     def _close_excess(self) -> None:
         """Closes connections if there are too many."""
         limit = self.server.max_connections
-        excess = self._num_connections + self.server.open_count - limit
+        count = self._num_connections + self.server.open_count
+        excess = count + len(self._behind) - limit
         if excess <= 0:
             return
         waiting = [
@@ -866,6 +890,9 @@
         )
         self.keep_alive_conn_limit = descriptors.kept
         self.max_connections = descriptors.waiting + descriptors.requests
+        self.max_requests_behind = int(
+            descriptors.requests * overload.BEHIND_SHARE
+        )
         self.limits = limits
         self.count_invalid = count_invalid
         self.count_closed = count_closed
--- a/src/quetzalgauge/node/overload.py
+++ b/src/quetzalgauge/node/overload.py
@@ -25,6 +25,9 @@
 MAX_KEPT_CONNECTIONS = 3000
 # What all unfinished heads may take, in parts of the memory for bodies.
 HEAD_SHARE = 3 / 8
+# Share of the requests in progress for those that were received behind others
+# on their connections.
+BEHIND_SHARE = 3 / 4
 # Connections that are closed beyond the excess, in parts of the allowed number.
 CLOSED_CONNECTION_SHARE = 1 / 16
 # What is parsed before connections with news are looked for again, in bytes of
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -31,7 +31,7 @@
 SHORT = datetime.timedelta(seconds=0.4)
 
 
-def respond(request):
+def answer(request):
     try:
         request.get_body()
     except request_body.BodyError as error:
@@ -47,6 +47,7 @@
     body_timeout=LONG,
     memory_bytes=10_000_000,
     max_descriptors=1000,
+    respond=answer,
 ):
     closed = []
     limits = configuration.CallerLimits(header_timeout=header_timeout)
@@ -203,6 +204,35 @@
         assert set(server.closed_for) == {"too_many"}
 
 
+def test_requests_behind_others_leave_places():
+    """Guards against callers that send ahead and take all places for good."""
+    may_respond = threading.Event()
+    count = 0
+
+    def respond(request):
+        nonlocal count
+        if request.uri == b"/behind":
+            count += 1
+            may_respond.wait(5)
+        request.conn.socket.sendall(RESPONSE)
+
+    behind = REQUEST.replace(b"/", b"/behind", 1)
+    # Four requests may be in progress.
+    with (
+        run_server(max_descriptors=80, respond=respond) as server,
+        contextlib.ExitStack() as stack,
+    ):
+        callers = [
+            stack.enter_context(connect(server, REQUEST + behind))
+            for _ in range(10)
+        ]
+        assert [caller.recv(1000) for caller in callers] == 10 * [RESPONSE]
+        time.sleep(0.3)
+        assert count <= 4
+        may_respond.set()
+        assert [caller.recv(1000) for caller in callers] == 10 * [RESPONSE]
+
+
 def wait_for(condition):
     deadline = time.monotonic() + 5
     while not condition():
