Leave descriptors for orders and links

The division of the descriptors left 131 of 4,200 for the process, its ports for operators and checks (74), orders and links; a zone leader with many instances needs more.

--- a/src/quetzalgauge/node/overload.py
+++ b/src/quetzalgauge/node/overload.py
@@ -12,9 +12,10 @@
 from typing import Protocol
 from typing import TypeVar
 
-# Descriptors of the process itself, and the share for other instances.
+# Descriptors of the process itself, and the share for its other ports, orders
+# and links to other instances.
 BASE_DESCRIPTORS = 32
-LINK_SHARE = 1 / 32
+LINK_SHARE = 1 / 16
 # Each request in progress takes one for its caller and one for its target.
 DESCRIPTORS_PER_REQUEST = 2
 # Shares of the other descriptors: requests in progress at most, idle
