Count the body of a request until its response has ended

A response that found no memory gave back all that its request had taken as it began to be passed on, though the body of the request stays in memory for another attempt. Bodies could lie in memory that did not count, beside targets with long responses. It gives back its own part now.

--- a/src/quetzalgauge/node/buffer_memory.py
+++ b/src/quetzalgauge/node/buffer_memory.py
@@ -84,10 +84,15 @@
         return True
 
     def give_back(self, size: int) -> None:
-        """Returns a part of what was taken for the request."""
+        """Returns a part of what was taken."""
         self._size -= size
         self._memory.give_back(size)
 
+    def release_response(self) -> None:
+        """Returns what was taken for the response."""
+        size, self._response_size = self._response_size, 0
+        self.give_back(size)
+
     def release(self) -> None:
         """Returns all that was taken."""
         size, self._size = self._size, 0
--- a/src/quetzalgauge/node/worker.py
+++ b/src/quetzalgauge/node/worker.py
@@ -487,7 +487,7 @@
         )
         self._has_written_data = running.has_data = True
         self._write_data(received)
-        self._reservation.release()
+        self._reservation.release_response()
         while part := (yield from rest.read_part()):
             self._write_data([part])
         self._release_connection(running, response)
--- a/tests/test_buffer_memory.py
+++ b/tests/test_buffer_memory.py
@@ -186,3 +186,18 @@
     for reservation in reservations:
         reservation.release()
     assert memory.free_bytes == 8000
+
+
+def test_a_response_that_is_passed_on_returns_only_its_own_memory():
+    """Guards against bodies of requests that do not count while they are sent.
+
+    They are kept until the response has ended, for another attempt.
+    """
+    memory = buffer_memory.BufferMemory(8000)
+    reservation = buffer_memory.Reservation(memory)
+    assert reservation.take_for_request(1000)
+    assert reservation.take_for_response(500)
+    reservation.release_response()
+    assert memory.free_bytes == 7000
+    reservation.release()
+    assert memory.free_bytes == 8000
