Give each head its whole timeout

Callers that sent a body, paused, and sent their next head in two parts got 408 as soon as the first part had arrived. The deadline for the rest of the earlier body was kept when the body was whole, and taken for that of the next head. It ends with the body now.

Found by the review. test_a_head_has_its_whole_timeout[idle-body] failed before.

--- a/src/quetzalgauge/node/listener.py
+++ b/src/quetzalgauge/node/listener.py
@@ -451,10 +451,13 @@
             self.cost += cost
             while not request.body_reader.take_memory():
                 self.server.discard_largest_body(self)
+        if request.body_reader.is_done:
+            self.deadline = math.inf
+            return True
         self.deadline = min(
             time.monotonic() + self._get_header_timeout(), self._body_deadline
         )
-        return request.body_reader.is_done
+        return False
 
     def _get_header_timeout(self) -> float:
         seconds: float = self.server.limits().header_timeout.total_seconds()
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -148,6 +148,25 @@
         assert response == 2 * RESPONSE
 
 
+@pytest.mark.parametrize("body", [b"", b"x"], ids=["empty", "body"])
+@pytest.mark.parametrize("is_ahead", [False, True], ids=["idle", "ahead"])
+def test_a_head_has_its_whole_timeout(body, is_ahead):
+    """Guards against 408 by the deadline of an earlier request."""
+    data = POST + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    part = data[:10] if is_ahead else b""
+    with (
+        run_server(header_timeout=SHORT) as server,
+        connect(server, data + part) as sock,
+    ):
+        assert sock.recv(1000) == RESPONSE
+        if not is_ahead:
+            time.sleep(1.5 * SHORT.total_seconds())
+            sock.sendall(data[:10])
+        time.sleep(0.5 * SHORT.total_seconds())
+        sock.sendall(data[10:])
+        assert sock.recv(1000) == RESPONSE
+
+
 def test_a_large_unfinished_body_yields_its_memory():
     """Guards against refusals since others hold memory for bodies.
 
