Wait for no caller to take a refusal of invalid HTTP

Threads waited for up to 45 s until a refusal of invalid HTTP, or an interim response, could be sent to a caller that does not read. Such callers were counted nowhere: 60 of them kept all 30 threads. Both are sent at once now, or the connection is closed.

Both cases of test_short_responses_that_are_not_read_take_no_ threads failed before: no answer to another caller within 5 s.

--- a/src/quetzalgauge/node/listener.py
+++ b/src/quetzalgauge/node/listener.py
@@ -9,6 +9,7 @@
 import contextlib
 import datetime
 import enum
+import errno
 import http.client
 import math
 import os
@@ -169,7 +170,8 @@
         self.close_connection = True
         self.conn.must_linger = True
         self.server.count_invalid(status_code, msg)
-        write_response(self, status_code, msg)
+        with contextlib.suppress(OSError):
+            _send_at_once(self.conn.socket, _format_response(status_code, msg))
 
     def fail(self) -> None:
         """Ends a request that cannot be handled.
@@ -215,6 +217,16 @@
     )
 
 
+def _send_at_once(sock: socket.socket, data: bytes) -> None:
+    """Sends data without waiting.
+
+    Raises:
+        OSError: The socket does not take all of it.
+    """
+    if os.write(sock.fileno(), data) < len(data):
+        raise BlockingIOError(errno.EAGAIN, "the socket takes no more")
+
+
 def _can_read_data(sock: socket.socket) -> bool:
     """Returns whether a read returns data at once; the end is no data."""
     try:
@@ -287,7 +299,10 @@
 
 
 class _Writer:
-    """The file to which cheroot writes interim responses."""
+    """The file to which cheroot writes interim responses.
+
+    No thread waits for a caller that does not take them.
+    """
 
     bytes_written = 0
 
@@ -295,8 +310,12 @@
         self._sock = sock
 
     def write(self, data: bytes) -> None:
-        """Writes data."""
-        self._sock.sendall(data)
+        """Writes data.
+
+        Raises:
+            OSError: The socket does not take all of it at once.
+        """
+        _send_at_once(self._sock, data)
 
 
 class _Progress(enum.Enum):
@@ -1106,6 +1125,18 @@
         retry_after: Time until a retry may succeed, None if a later retry
             makes no difference.
     """
+    with contextlib.suppress(OSError):
+        request.conn.socket.sendall(
+            _format_response(status, body, content_type, retry_after)
+        )
+
+
+def _format_response(
+    status: int,
+    body: bytes | str,
+    content_type: str = "text/plain",
+    retry_after: datetime.timedelta | None = None,
+) -> bytes:
     data = body if isinstance(body, bytes) else body.encode()
     head = (
         f"HTTP/1.1 {status} {http.client.responses.get(status, 'Error')}\r\n"
@@ -1115,5 +1146,4 @@
     if retry_after is not None:
         head += f"Retry-After: {retry_after.total_seconds():.2f}\r\n"
     head += "\r\n"
-    with contextlib.suppress(OSError):
-        request.conn.socket.sendall(head.encode() + data)
+    return head.encode() + data
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -167,6 +167,38 @@
         assert sock.recv(1000) == RESPONSE
 
 
+@pytest.mark.parametrize(
+    "behind",
+    [
+        b"GET / HTTP/1.1\r\n:\r\n\r\n",
+        POST + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\nx",
+    ],
+    ids=["malformed", "continue"],
+)
+def test_short_responses_that_are_not_read_take_no_threads(behind):
+    """Guards against threads that wait until a refusal can be sent."""
+
+    def respond(request):
+        sock = request.conn.socket
+        request.sent_headers = True
+        if request.uri == b"/fill":
+            sock.settimeout(0)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    sock.send(bytes(100_000))
+            return
+        sock.sendall(RESPONSE)
+
+    with run_server(respond=respond) as server, contextlib.ExitStack() as stack:
+        for _ in range(2 * THREAD_COUNT):
+            sock = stack.enter_context(socket.socket())
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(server.bind_addr)
+            sock.sendall(REQUEST.replace(b"/", b"/fill", 1) + behind)
+        time.sleep(1.0)
+        assert exchange(server) == RESPONSE
+
+
 def test_a_large_unfinished_body_yields_its_memory():
     """Guards against refusals since others hold memory for bodies.
 
