Return the memory of a body once

A connection could close while another thread had chosen to drop its body for want of memory; the body's memory was then returned twice, and the bound on bodies rose by it for good. Both happen under one lock now, and a closed connection has no body.

Found by the review, by reading. test_memory_of_a_body_is_returned_once, which closes the connection at that moment, failed before.

--- a/src/quetzalgauge/node/listener.py
+++ b/src/quetzalgauge/node/listener.py
@@ -518,7 +518,10 @@
     def close(self) -> None:
         """Closes the connection."""
         self._finish_request()
-        self.reservation.release()
+        # Another thread may be about to drop its body.
+        with self.server.body_lock:
+            self._request = None
+            self.reservation.release()
         super().close()
 
     def _finish_request(self) -> None:
@@ -922,7 +925,7 @@
         self.max_head_bytes = int(memory.total_bytes * overload.HEAD_SHARE)
         self.body_timeout = body_timeout
         # Held while an unfinished body grows or is dropped.
-        self.body_lock = threading.Lock()
+        self.body_lock = threading.RLock()
         self._handle_request = handle_request
         self._max_threads = max_threads
         self._must_grow = threading.Event()
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -217,6 +217,33 @@
         wait_for(lambda: server.memory.free_bytes == 100_000)
 
 
+def test_memory_of_a_body_is_returned_once(monkeypatch):
+    """Guards against a bound that drifts away.
+
+    A connection was closed while another thread had chosen to drop its body.
+    """
+    head = POST + b"Content-Length: 900000\r\n\r\n"
+    closed = []
+    with run_server(memory_bytes=700_000) as server:
+        choose = overload.choose_largest
+
+        def choose_and_close(usages):
+            largest = choose(usages)
+            if largest is not None and not closed:
+                closed.append(largest)
+                server._connections._unregister(largest)
+                largest.close()
+            return largest
+
+        monkeypatch.setattr(overload, "choose_largest", choose_and_close)
+        with connect(server, head + bytes(400_000)):
+            wait_for(lambda: server.memory.free_bytes < 310_000)
+            with connect(server, head + bytes(390_000)):
+                wait_for(lambda: closed)
+        wait_for(lambda: not server._connections._unfinished)
+        wait_for(lambda: server.memory.free_bytes == 700_000)
+
+
 def test_large_unfinished_heads_are_closed():
     """Guards against heads that take memory without a bound."""
     head = POST + b"A: " + b"b" * 10_000
