Bound the parsed heads of requests whose bodies are awaited

The lines of such heads have a bound together now, as much as unfinished heads. Requests with up to 64 lines are not refused for it, and none whose body has arrived with its head.

--- a/src/quetzalgauge/node/listener.py
+++ b/src/quetzalgauge/node/listener.py
@@ -362,6 +362,7 @@
         self._request: Request | None = None
         self._body_deadline = math.inf
         self._is_costly = False
+        self._kept_head_bytes = 0
         self.is_new = True
         self.must_reset = False
         self.must_linger = False
@@ -455,12 +456,26 @@
         )
         is_whole = True
         try:
-            is_whole = self._collect_body(request)
+            is_whole = self._collect_body(request) or not self._keep_head()
         finally:
             if is_whole:
                 self._request = None
         return is_whole
 
+    def _keep_head(self) -> bool:
+        """Takes memory for a parsed head; refuses its request without it."""
+        assert self._request is not None
+        size = len(self._request.header_pairs) * overload.HEADER_LINE_BYTES
+        if self.server.take_for_head(size):
+            self._kept_head_bytes = size
+            return True
+        self._fail_body(503, "no memory for the head")
+        return False
+
+    def _drop_head(self) -> None:
+        self.server.return_from_head(self._kept_head_bytes)
+        self._kept_head_bytes = 0
+
     def _collect_body(self, request: Request) -> bool:
         assert request.body_reader is not None
         with self.server.body_lock:
@@ -521,6 +536,7 @@
         # Another thread may be about to drop its body.
         with self.server.body_lock:
             self._request = None
+            self._drop_head()
             self.reservation.release()
         super().close()
 
@@ -568,6 +584,7 @@
             if self._request is not None:
                 return True
         else:
+            self._drop_head()
             self.server.serve_request(request)
             keeps_open = not request.close_connection
         self.has_served = True
@@ -923,6 +940,7 @@
         self.count_closed = count_closed
         self.memory = memory
         self.max_head_bytes = int(memory.total_bytes * overload.HEAD_SHARE)
+        self._kept_head_bytes = 0
         self.body_timeout = body_timeout
         # Held while an unfinished body grows or is dropped.
         self.body_lock = threading.RLock()
@@ -1000,6 +1018,28 @@
                     self._must_grow.set()
             super().process_conn(conn)
 
+    def take_for_head(self, size: int) -> bool:
+        """Takes memory for the head of a request whose body is awaited.
+
+        Returns:
+            False if there is none for a head that is not short.
+        """
+        with self.body_lock:
+            total = self._kept_head_bytes + size
+            if (
+                size > overload.MAX_SHORT_HEAD_BYTES
+                and total > self.max_head_bytes
+            ):
+                return False
+            self._kept_head_bytes = total
+            return True
+
+    def return_from_head(self, size: int) -> None:
+        """Returns memory that was taken for a head."""
+        if size:
+            with self.body_lock:
+                self._kept_head_bytes -= size
+
     def discard_largest_body(self, conn: _Connection) -> None:
         """Drops the body of an unfinished request; `body_lock` is held.
 
--- a/src/quetzalgauge/node/overload.py
+++ b/src/quetzalgauge/node/overload.py
@@ -26,6 +26,10 @@
 MAX_KEPT_CONNECTIONS = 3000
 # What all unfinished heads may take, in parts of the memory for bodies.
 HEAD_SHARE = 3 / 8
+# What a line of a head takes once it is parsed, and what the head of a request
+# whose body is awaited may always take.
+HEADER_LINE_BYTES = 256
+MAX_SHORT_HEAD_BYTES = 16_384
 # Share of the requests in progress for those that were received behind others
 # on their connections.
 BEHIND_SHARE = 3 / 4
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -264,6 +264,33 @@
         assert answered == 10 - len(server.closed_for)
 
 
+def test_heads_of_many_lines_are_refused_while_their_bodies_are_awaited():
+    """Guards against parsed heads that take memory without a bound.
+
+    A line takes many times as much as was sent of it. Short heads are kept.
+    """
+    lines = b"".join(b"a%d:\r\n" % number for number in range(1000))
+    rest = b"Content-Length: 9\r\n\r\nx"
+    with (
+        run_server(memory_bytes=4_000_000) as server,
+        contextlib.ExitStack() as stack,
+    ):
+        socks = [
+            stack.enter_context(connect(server, POST + lines + rest))
+            for _ in range(12)
+        ]
+        short = stack.enter_context(connect(server, POST + rest))
+        wait_for(lambda: len(server._connections._unfinished) == 13)
+        kept = []
+        for sock in [*socks, short]:
+            sock.sendall(b"x" * 8)
+            kept.append(sock.recv(1000) == RESPONSE)
+        # There is memory for 1.5 MB of heads, and each takes 256 KB.
+        assert sum(kept[:-1]) == 5
+        assert kept[-1]
+        wait_for(lambda: not server._kept_head_bytes)
+
+
 @pytest.mark.parametrize("part", ["nothing", *PARTS])
 def test_too_many_connections_yield_to_new_ones(part):
     """Guards against connections that take all descriptors."""
