--- a/src/quetzalgauge/node/listener.py
+++ b/src/quetzalgauge/node/listener.py
@@ -517,7 +517,10 @@
         if not _can_read_data(self.socket):
             return False
         if self._request is None:
-            return self.receive() is _Progress.READY
+            progress = _Progress.WAITING
+            while progress is _Progress.WAITING and _can_read_data(self.socket):
+                progress = self.receive()
+            return progress is _Progress.READY
         self.deadline = min(
             now + self._get_header_timeout(), self._body_deadline
         )
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -360,12 +360,14 @@
         server._connections._selector.select = select_late
         for data in (
             REQUEST,
+            # More than is read at once.
+            REQUEST[:-2] + b"A: " + b"b" * 12_000 + b"\r\n\r\n",
             POST + b"Content-Length: 5\r\n\r\nabcde",
             CHUNKED + b"3\r\nabc\r\n0\r\n\r\n",
         ):
-            with connect(server, data[:-2]) as sock:
+            with connect(server, data[:20]) as sock:
                 time.sleep(0.1)
                 is_stalled.set()
                 time.sleep(0.1)
-                sock.sendall(data[-2:])
+                sock.sendall(data[20:])
                 assert sock.recv(1000) == RESPONSE
