--- a/src/quetzalgauge/node/listener.py
+++ b/src/quetzalgauge/node/listener.py
@@ -346,6 +346,8 @@
             refused one, is over, in seconds of the steady clock.
     """
 
+    RequestHandlerClass = Request
+
     def __init__(self, server: Any, sock: Any, makefile: Any) -> None:
         self._received = _Received()
         super().__init__(
@@ -372,8 +374,6 @@
         self.is_refused = False
         self.deadline = math.inf
 
-    RequestHandlerClass = Request
-
     @property
     def is_unfinished(self) -> bool:
         """Whether a part of a request was received."""
