Test other values of routes and services beside requests in progress

Priority, weights, max_conns and the values of an engine had no test of their own with a request that is sent or waits. Ten cases; all pass on this code, and find no fault.

--- a/tests/test_core_changes.py
+++ b/tests/test_core_changes.py
@@ -1,5 +1,7 @@
 """Tests what a new configuration changes for requests in progress."""
 
+import dataclasses
+
 import core_samples as samples
 import pytest
 
@@ -318,3 +320,71 @@
     assert advance(harness, 5.0) == []
     harness.fail_attempt(None, status=200)
     assert take_request_line(harness)["outcome"] == "answered 200"
+
+
+def make_changed_configuration(route=None, services=None, **route_values):
+    """Returns a second version in which a route or the services differ."""
+    base = make_configuration(2)
+    route = base.find_route(samples.HOST, "/look/1")
+    return samples.configuration.Configuration(
+        2,
+        [dataclasses.replace(route, **route_values)],
+        (dict(base.services) | (services or {})).values(),
+        base.limits,
+    )
+
+
+def make_backends(**weights):
+    return tuple(
+        samples.configuration.Backend(service, weight)
+        for service, weight in weights.items()
+    )
+
+
+ENGINE = make_configuration(1).services[samples.ENGINE_SERVICE]
+OTHER_VALUES = {
+    "priority": {"priority": 7},
+    "weights": {
+        "backends": make_backends(
+            **{samples.PLAIN_SERVICE: 0.1, samples.ENGINE_SERVICE: 0.9}
+        )
+    },
+    "no weight": {"backends": make_backends(**{samples.PLAIN_SERVICE: 0.0})},
+    "max_conns": {
+        "services": {
+            samples.PLAIN_SERVICE: samples.configuration.Service(
+                samples.PLAIN_SERVICE, 1
+            )
+        }
+    },
+    "engine": {
+        "services": {
+            samples.ENGINE_SERVICE: dataclasses.replace(
+                ENGINE,
+                engine=dataclasses.replace(
+                    ENGINE.engine,
+                    slots=1,
+                    kv_cache_tokens=1,
+                    memory_mb=1.0,
+                    adapter_slots=0,
+                    models={},
+                ),
+            )
+        }
+    },
+}
+
+
+@pytest.mark.parametrize("values", OTHER_VALUES.values(), ids=OTHER_VALUES)
+@pytest.mark.parametrize("is_sent", [True, False], ids=["sent", "waiting"])
+def test_other_values_end_no_request(values, is_sent):
+    """Guards against requests that end as a value changes they do not use."""
+    harness = make_harness("p0", slots=1 if is_sent else 0)
+    harness.submit("/look/1")
+    if not is_sent:
+        assert harness.submit("/look/1") == []
+    changed = make_changed_configuration(**values)
+    assert harness.configure(changed) == []
+    assert advance(harness, 0.5) == []
+    harness.fail_attempt(None, status=200, local_id=1)
+    assert take_request_line(harness)["outcome"] == "answered 200"
