Know models that were withdrawn while an order was on its way

An operator withdraws a model while the order to load it has no response.

Cause: TargetState takes the load time of the model from the configuration in force when the order is accepted, which no longer lists it.

A configuration now retains the models that it withdraws, as they were last, so that what was begun with them can end. An instance that never knew a model assumes a load time, and waits for a status report.

--- a/src/quetzalgauge/core/configuration.py
+++ b/src/quetzalgauge/core/configuration.py
@@ -8,6 +8,9 @@
 
 from quetzalgauge import ids
 
+# Withdrawn models that are remembered for each service.
+MAX_WITHDRAWN_MODELS = 1_000
+
 
 class RouteKind(enum.Enum):
     """Kind of a route, which decides whether its requests may be retried."""
@@ -99,6 +102,8 @@
         max_store_loads_per_s: Maximum rate of loads from the weight store, over
             all targets.
         models: Models by name.
+        withdrawn_models: Models that earlier versions had, as they were last.
+            Targets may still hold them, or load them for an earlier order.
     """
 
     slots: int
@@ -109,6 +114,13 @@
     disk_cache_mb: float
     max_store_loads_per_s: float
     models: Mapping[ids.ModelName, Model]
+    withdrawn_models: Mapping[ids.ModelName, Model] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def find_model(self, name: ids.ModelName) -> Model | None:
+        """Returns a model that targets may hold, None if it is unknown."""
+        return self.models.get(name) or self.withdrawn_models.get(name)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,6 +219,23 @@
         """Number of routes."""
         return sum(len(routes) for routes in self._routes.values())
 
+    def retain_models(self, previous: "Configuration") -> "Configuration":
+        """Returns this version with the models that it withdraws.
+
+        Args:
+            previous: The version before, with the models withdrawn earlier.
+        """
+        services = [
+            _retain_models(service, previous.services.get(service.name))
+            for service in self._services.values()
+        ]
+        routes = [
+            route
+            for routes_by_prefix in self._routes.values()
+            for route in routes_by_prefix.values()
+        ]
+        return Configuration(self._version, routes, services, self._limits)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix, or None.
 
@@ -228,6 +257,23 @@
         return None
 
 
+def _retain_models(service: Service, previous: Service | None) -> Service:
+    if service.engine is None or previous is None or previous.engine is None:
+        return service
+    withdrawn = {
+        name: model
+        for name, model in (
+            *previous.engine.withdrawn_models.items(),
+            *previous.engine.models.items(),
+        )
+        if name not in service.engine.models
+    }
+    for name in list(withdrawn)[:-MAX_WITHDRAWN_MODELS]:
+        del withdrawn[name]
+    engine = dataclasses.replace(service.engine, withdrawn_models=withdrawn)
+    return dataclasses.replace(service, engine=engine)
+
+
 def strip_port(host: str) -> str:
     """Returns the host name of a Host header in lower case, without port."""
     name, colon, port = host.strip().lower().rpartition(":")
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -521,6 +521,8 @@
     ) -> list[Action]:
         if self._config is not None and config.version <= self._config.version:
             return []
+        if self._config is not None:
+            config = config.retain_models(self._config)
         self._config = config
         actions: list[Action] = list(self._gateway.configure(config, now))
         self._log_events.append(
--- a/src/quetzalgauge/core/target_state.py
+++ b/src/quetzalgauge/core/target_state.py
@@ -24,6 +24,8 @@
 UNLOAD_TIME = datetime.timedelta(milliseconds=50)
 # Time to load an adapter from the weight store.
 ADAPTER_LOAD_TIME = datetime.timedelta(milliseconds=10)
+# Time until the load of an unknown model is first expected to end.
+UNKNOWN_LOAD_TIME = datetime.timedelta(seconds=1)
 # Time for sending an order and receiving the response.
 ORDER_ROUND_TRIP = datetime.timedelta(milliseconds=5)
 # Delay before the next order to a target that was still busy.
@@ -250,9 +252,10 @@
 
     def estimate_load_time(self, model: ids.ModelName) -> datetime.timedelta:
         """Returns the expected time that this target takes to load a model."""
-        full_speed_time = fleet.estimate_load_time(
-            self.engine.models[model], self.copies
-        )
+        spec = self.engine.find_model(model)
+        if spec is None:
+            return UNKNOWN_LOAD_TIME
+        full_speed_time = fleet.estimate_load_time(spec, self.copies)
         return (
             full_speed_time
             if self.has_copy(model)
@@ -355,9 +358,8 @@
             if replica.state is LoadState.UNLOADING
         ]:
             self._remove_model(model)
-        is_reliable = (
-            ready_at - now < self.engine.models[order.model].store_load_time
-        )
+        spec = self.engine.find_model(order.model)
+        is_reliable = spec is not None and ready_at - now < spec.store_load_time
         self.replicas[order.model] = Replica(
             LoadState.LOADING, ready_at, now, is_estimate_reliable=is_reliable
         )
--- /dev/null
+++ b/tests/test_core_withdrawn_models.py
@@ -0,0 +1,47 @@
+"""Tests of what has begun with a model that a new configuration withdraws."""
+
+import core_samples as samples
+import pytest
+import test_core_zone_leader
+
+from quetzalgauge.core import orders
+
+LOAD, UNLOAD = orders.Operation.LOAD, orders.Operation.UNLOAD
+MODEL_NAMES = test_core_zone_leader.MODEL_NAMES
+
+
+def make_harness(**options):
+    """Returns the leader of a target that is full with three models."""
+    loaded_models = {"e1": ["m0", "m1", "m2"]}
+    return test_core_zone_leader.LeaderHarness(loaded_models, **options)
+
+
+def withdraw(harness, *names, **engine_options):
+    """Applies a version without some models."""
+    models = [model for model in samples.MODELS if model.name not in names]
+    harness.leader.configure(samples.make_configuration(2, models=models))
+    return harness.reconcile()
+
+
+def order_load(harness, model="m5"):
+    """Returns the order to load a model, after that to unload another one."""
+    harness.send_report([model])
+    (order,) = harness.reconcile()
+    assert order.operation is UNLOAD
+    harness.send_order_result(order)
+    (order,) = harness.advance(0.1)
+    assert (order.operation, order.model) == (LOAD, model)
+    return order
+
+
+@pytest.mark.parametrize("outcome", orders.Outcome)
+@pytest.mark.parametrize("disk", [MODEL_NAMES, MODEL_NAMES[:2]])
+def test_the_order_to_load_a_withdrawn_model_has_a_result(outcome, disk):
+    """Guards against an instance that ends at the result of such an order."""
+    harness = make_harness(disk=disk)
+    order = order_load(harness)
+    withdraw(harness, "m5")
+    harness.send_order_result(order, outcome)
+    harness.advance(1.0)
+    loaded = harness.leader.dump(harness.now)["targets"]["e1"]["models"]
+    assert len(loaded.keys() & {"m0", "m1", "m2"}) >= 2
