Count withdrawn models with their size

After a version that withdraws a model, a target that holds it loads nothing beside it, neither models nor adapters, until another model takes its place.

Cause: a model that the configuration does not list counts as the whole memory of its target. That holds for models of unknown size; the size of a withdrawn one is known.

test_a_withdrawn_model_takes_its_size failed before: -120,000 MB were free, 80,000 are.

--- a/src/quetzalgauge/core/placement.py
+++ b/src/quetzalgauge/core/placement.py
@@ -515,14 +515,14 @@
 ) -> list[tuple[float, float]]:
     """Returns the free disk space in MB, then each copy in eviction order.
 
-    Each copy is its size in MB and its value; those of unconfigured models have
-    no size.
+    Each copy is its size in MB and its value; those of unknown models have no
+    size.
     """
     engine = state.engine
     sizes = {
-        model: engine.models[model].size_mb
+        model: spec.size_mb
         for model in state.copies.on_disk
-        if model in engine.models
+        if (spec := engine.find_model(model)) is not None
     }
     steps = [(engine.disk_cache_mb - sum(sizes.values()), 0.0)]
     for model in state.copies.on_disk:
--- a/src/quetzalgauge/core/placement_index.py
+++ b/src/quetzalgauge/core/placement_index.py
@@ -242,12 +242,11 @@
 ) -> float:
     """Returns the memory in MB that evicting models and their adapters frees.
 
-    A model that is missing from the configuration counts as the whole memory
-    of the target.
+    An unknown model counts as the whole memory of the target.
     """
     total = 0.0
     for model in victims:
-        spec = state.engine.models.get(model)
+        spec = state.engine.find_model(model)
         if spec is None:
             total += state.engine.memory_mb
             continue
--- a/src/quetzalgauge/core/target_state.py
+++ b/src/quetzalgauge/core/target_state.py
@@ -159,12 +159,11 @@
         for name, replica in self.replicas.items():
             if replica.state is LoadState.UNLOADING and replica.ready_at <= now:
                 continue
-            spec = self.engine.models.get(name)
-            # The size of an unconfigured model is unknown, so it counts as the
-            # whole memory.
+            spec = self.engine.find_model(name)
+            # The size of an unknown model counts as the whole memory.
             used_mb += spec.size_mb if spec else self.engine.memory_mb
         for model, _ in self.adapters:
-            spec = self.engine.models.get(model)
+            spec = self.engine.find_model(model)
             used_mb += spec.adapter_mb if spec else 0.0
         for order in self._find_late_loads(now):
             spec = self.engine.models.get(order.model)
--- a/tests/test_core_withdrawn_models.py
+++ b/tests/test_core_withdrawn_models.py
@@ -45,3 +45,49 @@
     harness.advance(1.0)
     loaded = harness.leader.dump(harness.now)["targets"]["e1"]["models"]
     assert len(loaded.keys() & {"m0", "m1", "m2"}) >= 2
+
+
+def make_versions(*changes, **engine_options):
+    """Returns versions, each with the models of one of the changes."""
+    versions = []
+    for version, models in enumerate(changes, 1):
+        engine = samples.make_engine(models, **engine_options)
+        service = samples.configuration.Service(
+            samples.ENGINE_SERVICE, 300, engine
+        )
+        config = samples.configuration.Configuration(
+            version,
+            samples.ROUTES,
+            [service],
+            samples.configuration.CallerLimits(),
+        )
+        versions.append(
+            config.retain_models(versions[-1]) if versions else config
+        )
+    return versions
+
+
+def get_engine(config):
+    return config.services[samples.ENGINE_SERVICE].engine
+
+
+def test_a_withdrawn_model_takes_its_size():
+    """Guards against targets that load nothing beside a withdrawn model."""
+    models = samples.MODELS[:3]
+    first, second, third = make_versions(models, models[1:], models[2:])
+    state = samples.make_target_state(
+        models=["m0", "m1"], engine=get_engine(first)
+    )
+    for config in (second, third):
+        state.engine = get_engine(config)
+        assert state.get_free_mb(samples.seconds(100)) == 80_000
+    assert not get_engine(third).models.keys() & {"m0", "m1"}
+
+
+def test_only_the_last_withdrawn_models_are_known(monkeypatch):
+    """Guards against memory that grows with the number of versions."""
+    monkeypatch.setattr(samples.configuration, "MAX_WITHDRAWN_MODELS", 2)
+    *_, last = make_versions(
+        *([samples.make_model(f"x{number}")] for number in range(5))
+    )
+    assert list(get_engine(last).withdrawn_models) == ["x2", "x3"]
