Unload no adapters where that frees too little memory

On a target whose memory is exceeded, by a model of unknown size, a load that may still be carried out late, or a version with less memory, each demand for an adapter unloads another one, until none is left; none is loaded.

Cause: plan_next_order unloads an adapter whenever memory is missing, however much.

test_adapters_stay_if_models_take_the_memory[unknown] failed before: a1 was unloaded for a2 beside a model that counts as the whole memory.

--- a/src/quetzalgauge/core/adapters.py
+++ b/src/quetzalgauge/core/adapters.py
@@ -52,28 +52,29 @@
     )
     if loading_count >= MAX_CONCURRENT_ADAPTER_LOADS:
         return None
-    if state.count_free_adapter_slots(
-        now
-    ) > 0 and spec.adapter_mb <= state.get_free_mb(now):
+    missing_mb = spec.adapter_mb - state.get_free_mb(now)
+    if state.count_free_adapter_slots(now) > 0 and missing_mb <= 0:
         return AdapterOrder(
             orders.Operation.LOAD, adapter_demand.model, adapter_demand.adapter
         )
-    victim = _find_victim(state, running, now)
-    if victim is None:
+    idle = _list_idle_adapters(state, running, now)
+    # Memory that models take is not freed by unloading adapters.
+    if not idle or missing_mb > sum(map(state.get_adapter_mb, idle)):
         return None
-    return AdapterOrder(orders.Operation.UNLOAD, *victim)
+    return AdapterOrder(orders.Operation.UNLOAD, *idle[0])
 
 
-def _find_victim(
+def _list_idle_adapters(
     state: target_state.TargetState,
     running: demand.RunningCounts,
     now: datetime.timedelta,
-) -> target_state.AdapterKey | None:
-    idle = [
+) -> list[target_state.AdapterKey]:
+    """Returns the adapters that may be evicted, least recently used first."""
+    idle = sorted(
         (adapter.last_used_at, key)
         for key, adapter in state.adapters.items()
         if adapter.state is target_state.LoadState.READY
         and now - adapter.ready_at >= MIN_ADAPTER_RESIDENCE_TIME
         and not running.count_for_adapter(state.target, *key)
-    ]
-    return min(idle)[1] if idle else None
+    )
+    return [key for _, key in idle]
--- a/src/quetzalgauge/core/target_state.py
+++ b/src/quetzalgauge/core/target_state.py
@@ -162,9 +162,7 @@
             spec = self.engine.find_model(name)
             # The size of an unknown model counts as the whole memory.
             used_mb += spec.size_mb if spec else self.engine.memory_mb
-        for model, _ in self.adapters:
-            spec = self.engine.find_model(model)
-            used_mb += spec.adapter_mb if spec else 0.0
+        used_mb += sum(map(self.get_adapter_mb, self.adapters))
         for order in self._find_late_loads(now):
             spec = self.engine.models.get(order.model)
             if spec is None:
@@ -175,6 +173,11 @@
                 used_mb += spec.size_mb
         return self.engine.memory_mb - used_mb
 
+    def get_adapter_mb(self, adapter: AdapterKey) -> float:
+        """Returns the accelerator memory in MB that an adapter takes."""
+        spec = self.engine.find_model(adapter[0])
+        return spec.adapter_mb if spec else 0.0
+
     def count_free_adapter_slots(self, now: datetime.timedelta) -> int:
         """Returns how many more adapters an order may load."""
         late_count = sum(
--- a/tests/test_core_withdrawn_models.py
+++ b/tests/test_core_withdrawn_models.py
@@ -4,6 +4,8 @@
 import pytest
 import test_core_zone_leader
 
+from quetzalgauge.core import adapters
+from quetzalgauge.core import demand
 from quetzalgauge.core import orders
 
 LOAD, UNLOAD = orders.Operation.LOAD, orders.Operation.UNLOAD
@@ -91,3 +93,28 @@
         *([samples.make_model(f"x{number}")] for number in range(5))
     )
     assert list(get_engine(last).withdrawn_models) == ["x2", "x3"]
+
+
+@pytest.mark.parametrize(
+    ("unknown", "operation"), [("unknown", None), ("m1", UNLOAD)]
+)
+def test_adapters_stay_if_models_take_the_memory(unknown, operation):
+    """Guards against unloading adapters that frees too little for another.
+
+    The memory is exceeded by a model of unknown size, or just used up.
+    """
+    engine = samples.make_engine(samples.MODELS, memory_mb=120_070)
+    state = samples.make_target_state(models=["m0", unknown], engine=engine)
+    status = samples.make_status(
+        [samples.targets.LoadedModel("m0", ("a1",)), unknown],
+        sequence_number=1,
+    )
+    now = samples.seconds(100)
+    state.apply_status(orders.StatusResult("t1", 1, status, now), now)
+    order = adapters.plan_next_order(
+        state,
+        samples.peer_messages.AdapterDemand("t1", "m0", "a2"),
+        demand.RunningCounts(),
+        now + samples.seconds(1),
+    )
+    assert (order and order.operation) == operation
