Count a held model with the largest of its sizes

A version that lists a loaded model with another size changes at once how much memory of its target counts as free. If the target counts the model as it was loaded, or the load is still on its way, the next load may exceed its memory: the target crashes.

Cause: the memory that is in use is worked out from the newest version alone.

Models and adapters on a target now keep the largest size of the versions since their order; one that is loaded anew starts with the newest.

With state.engine set in place of state.configure, five of the new tests failed before (a size that is lowered, of a model and of an adapter): 30,000 MB and 10 MB counted, the target may use 50,000 and 100.

--- a/src/quetzalgauge/core/placement_index.py
+++ b/src/quetzalgauge/core/placement_index.py
@@ -238,20 +238,12 @@
 
 
 def _compute_freed_mb(
-    state: target_state.TargetState, victims: Iterable[ids.ModelName]
+    state: target_state.TargetState, victims: Collection[ids.ModelName]
 ) -> float:
     """Returns the memory in MB that evicting models and their adapters frees.
 
     An unknown model counts as the whole memory of the target.
     """
-    total = 0.0
-    for model in victims:
-        spec = state.engine.find_model(model)
-        if spec is None:
-            total += state.engine.memory_mb
-            continue
-        total += spec.size_mb
-        total += spec.adapter_mb * sum(
-            key[0] == model for key in state.adapters
-        )
-    return total
+    return sum(map(state.get_model_mb, victims)) + sum(
+        state.get_adapter_mb(key) for key in state.adapters if key[0] in victims
+    )
--- a/src/quetzalgauge/core/target_state.py
+++ b/src/quetzalgauge/core/target_state.py
@@ -59,6 +59,8 @@
         state: Whether it is loading, ready or unloading.
         ready_at: When it is expected to be ready (or removed, if unloading).
         last_used_at: When a request for it last ran or waited.
+        memory_mb: Accelerator memory that it takes, the most that any version
+            of the configuration since its order says; None if unknown.
         is_confirmed: Whether a status report has listed it as loaded.
         is_estimate_reliable: Whether `ready_at` is reliable. It is not for a
             load from the weight store, which concurrent loads slow down.
@@ -67,6 +69,7 @@
     state: LoadState
     ready_at: datetime.timedelta
     last_used_at: datetime.timedelta
+    memory_mb: float | None = None
     is_confirmed: bool = False
     is_estimate_reliable: bool = True
 
@@ -149,6 +152,29 @@
         """
         return self._is_reported_busy and self._fetching_model is None
 
+    def configure(self, engine: configuration.Engine) -> None:
+        """Applies a new version of the engine's configuration.
+
+        What the target holds may still have the size that it was loaded with.
+        """
+        self.engine = engine
+        for model, replica in self.replicas.items():
+            replica.memory_mb = _choose_larger(
+                replica.memory_mb, self._get_size_mb(model)
+            )
+        for (model, _), adapter in self.adapters.items():
+            adapter.memory_mb = _choose_larger(
+                adapter.memory_mb, self._get_adapter_size_mb(model)
+            )
+
+    def _get_size_mb(self, model: ids.ModelName) -> float | None:
+        spec = self.engine.find_model(model)
+        return spec.size_mb if spec else None
+
+    def _get_adapter_size_mb(self, model: ids.ModelName) -> float | None:
+        spec = self.engine.find_model(model)
+        return spec.adapter_mb if spec else None
+
     def get_free_mb(self, now: datetime.timedelta) -> float:
         """Returns the accelerator memory in MB that an order may still use.
 
@@ -159,9 +185,7 @@
         for name, replica in self.replicas.items():
             if replica.state is LoadState.UNLOADING and replica.ready_at <= now:
                 continue
-            spec = self.engine.find_model(name)
-            # The size of an unknown model counts as the whole memory.
-            used_mb += spec.size_mb if spec else self.engine.memory_mb
+            used_mb += self.get_model_mb(name)
         used_mb += sum(map(self.get_adapter_mb, self.adapters))
         for order in self._find_late_loads(now):
             spec = self.engine.models.get(order.model)
@@ -173,10 +197,17 @@
                 used_mb += spec.size_mb
         return self.engine.memory_mb - used_mb
 
+    def get_model_mb(self, model: ids.ModelName) -> float:
+        """Returns the accelerator memory in MB that a held model takes.
+
+        A model of unknown size counts as the whole memory.
+        """
+        memory_mb = self.replicas[model].memory_mb
+        return self.engine.memory_mb if memory_mb is None else memory_mb
+
     def get_adapter_mb(self, adapter: AdapterKey) -> float:
-        """Returns the accelerator memory in MB that an adapter takes."""
-        spec = self.engine.find_model(adapter[0])
-        return spec.adapter_mb if spec else 0.0
+        """Returns the accelerator memory in MB that a held adapter takes."""
+        return self.adapters[adapter].memory_mb or 0.0
 
     def count_free_adapter_slots(self, now: datetime.timedelta) -> int:
         """Returns how many more adapters an order may load."""
@@ -276,13 +307,17 @@
                 self._fetching_model = order.model
             ready_at = now + self.estimate_load_time(order.model)
             self.replicas[order.model] = Replica(
-                LoadState.LOADING, ready_at, now
+                LoadState.LOADING,
+                ready_at,
+                now,
+                self._get_size_mb(order.model),
             )
         else:
             self.adapters[(order.model, order.adapter)] = Replica(
                 LoadState.LOADING,
                 now + ORDER_ROUND_TRIP + ADAPTER_LOAD_TIME,
                 now,
+                self._get_adapter_size_mb(order.model),
             )
 
     def apply_order_result(
@@ -339,15 +374,20 @@
         if outcome is orders.Outcome.ALREADY_DONE and order.adapter is None:
             self._fetching_model = None
         if order.adapter is not None:
+            reserved = self.adapters.get((order.model, order.adapter))
             if outcome is orders.Outcome.ACCEPTED:
                 ready_at = now + ADAPTER_LOAD_TIME
-                reserved = self.adapters.get((order.model, order.adapter))
                 if reserved is not None and reserved.ready_at >= ready_at:
                     # Keeps the estimate that is already published to the
                     # instances, so that no further update is needed.
                     return
             self.adapters[(order.model, order.adapter)] = Replica(
-                LoadState.LOADING, ready_at, now
+                LoadState.LOADING,
+                ready_at,
+                now,
+                reserved.memory_mb
+                if reserved
+                else self._get_adapter_size_mb(order.model),
             )
             return
         if outcome is orders.Outcome.ACCEPTED:
@@ -362,8 +402,13 @@
             self._remove_model(model)
         spec = self.engine.find_model(order.model)
         is_reliable = spec is not None and ready_at - now < spec.store_load_time
+        reserved = self.replicas.get(order.model)
         self.replicas[order.model] = Replica(
-            LoadState.LOADING, ready_at, now, is_estimate_reliable=is_reliable
+            LoadState.LOADING,
+            ready_at,
+            now,
+            reserved.memory_mb if reserved else self._get_size_mb(order.model),
+            is_estimate_reliable=is_reliable,
         )
         self.available_at = self._expected_end_at = ready_at
         self._poll_at = ready_at + STATUS_LAG
@@ -594,7 +639,9 @@
         for model in loaded:
             replica = self.replicas.get(model)
             if replica is None:
-                replica = Replica(LoadState.READY, now, _ZERO)
+                replica = Replica(
+                    LoadState.READY, now, _ZERO, self._get_size_mb(model)
+                )
                 self.replicas[model] = replica
             if replica.state is LoadState.UNLOADING and status.is_busy:
                 continue
@@ -616,7 +663,12 @@
             del self.adapters[key]
         for key in reported_keys:
             if key not in self.adapters:
-                self.adapters[key] = Replica(LoadState.READY, now, _ZERO)
+                self.adapters[key] = Replica(
+                    LoadState.READY,
+                    now,
+                    _ZERO,
+                    self._get_adapter_size_mb(key[0]),
+                )
 
     def mark_loads_ready(self, now: datetime.timedelta) -> None:
         """Marks loads as ready whose expected end has passed.
@@ -635,3 +687,9 @@
         for adapter in self.adapters.values():
             if adapter.state is LoadState.LOADING and adapter.ready_at <= now:
                 adapter.state = LoadState.READY
+
+
+def _choose_larger(left: float | None, right: float | None) -> float | None:
+    if left is None or right is None:
+        return right if left is None else left
+    return max(left, right)
--- a/src/quetzalgauge/core/zone_leader.py
+++ b/src/quetzalgauge/core/zone_leader.py
@@ -168,7 +168,7 @@
         for state in self._target_states.values():
             service = config.services.get(state.description.service)
             if service is not None and service.engine is not None:
-                state.engine = service.engine
+                state.configure(service.engine)
 
     def apply_report(
         self, report: peer_messages.Report, now: datetime.timedelta
--- a/tests/test_core_withdrawn_models.py
+++ b/tests/test_core_withdrawn_models.py
@@ -1,5 +1,7 @@
 """Tests of what has begun with a model that a new configuration withdraws."""
 
+import dataclasses
+
 import core_samples as samples
 import pytest
 import test_core_zone_leader
@@ -81,7 +83,7 @@
         models=["m0", "m1"], engine=get_engine(first)
     )
     for config in (second, third):
-        state.engine = get_engine(config)
+        state.configure(get_engine(config))
         assert state.get_free_mb(samples.seconds(100)) == 80_000
     assert not get_engine(third).models.keys() & {"m0", "m1"}
 
@@ -118,3 +120,61 @@
         now + samples.seconds(1),
     )
     assert (order and order.operation) == operation
+
+
+@pytest.mark.parametrize("is_loaded", [True, False])
+@pytest.mark.parametrize("later_sizes", [(80_000, 60_000), (30_000,), ()])
+def test_a_held_model_takes_the_largest_of_its_sizes(is_loaded, later_sizes):
+    """Guards against a load that exceeds the memory of a target.
+
+    The target may count a model with the size of its load or the newest one.
+    """
+    sizes = (50_000, *later_sizes)
+    versions = make_versions(
+        *([samples.make_model("m0", size)] for size in sizes), []
+    )
+    now = samples.seconds(100)
+    state = samples.make_target_state(
+        models=["m0"] if is_loaded else [], engine=get_engine(versions[0])
+    )
+    if not is_loaded:
+        state.create_order(LOAD, "m0", None, 1, now)
+    for config in versions[1:]:
+        state.configure(get_engine(config))
+    if not is_loaded:
+        order = state.pending_order
+        accepted = orders.OrderResult(order, orders.Outcome.ACCEPTED)
+        state.apply_order_result(accepted, now)
+    assert state.get_free_mb(now) == 200_000 - max(sizes)
+
+
+def test_held_adapters_take_the_largest_of_their_sizes():
+    """Guards against a load that exceeds the memory of a target."""
+    model = samples.make_model("m0", adapters=2)
+    versions = make_versions(
+        *(
+            [dataclasses.replace(model, adapter_mb=size)]
+            for size in (40.0, 100.0, 10.0)
+        )
+    )
+    now = samples.seconds(100)
+    state = samples.make_target_state(
+        models=[samples.targets.LoadedModel("m0", ("a1",))],
+        engine=get_engine(versions[0]),
+    )
+    order = state.create_order(LOAD, "m0", "a2", 1, now)
+    for config in versions[1:]:
+        state.configure(get_engine(config))
+    accepted = orders.OrderResult(order, orders.Outcome.ACCEPTED)
+    state.apply_order_result(accepted, now)
+    assert state.get_free_mb(now) == 140_000 - 200.0
+
+
+def test_a_model_of_unknown_size_takes_its_size_once_it_is_listed():
+    """Guards against targets that load nothing beside a known model."""
+    versions = make_versions([], samples.MODELS[:1])
+    state = samples.make_target_state(
+        models=["m0"], engine=get_engine(versions[0])
+    )
+    state.configure(get_engine(versions[1]))
+    assert state.get_free_mb(samples.seconds(100)) == 140_000
