Keep memory for late loads of withdrawn models

A target that restarts under its id may carry out an order from before, so memory is kept for it (docs/incidents, orders). If a version withdraws the model, or lowers its size, no memory or too little is kept: the target is loaded to the full, carries out the order too, and crashes.

Cause: the size of a late load is looked up in the newest version.

An order now bears what its load takes as configured when it was made; the larger of that and the newest size counts.

test_memory_is_kept_for_a_late_load_of_a_withdrawn_model failed before in 2 of 3 cases (withdrawn; listed with a lower size).

--- a/src/quetzalgauge/core/orders.py
+++ b/src/quetzalgauge/core/orders.py
@@ -48,6 +48,8 @@
         expected_sequence_number: Number of orders that the target must have
             accepted before this one.
         fencing_token: Fencing token of the zone leader.
+        memory_mb: Accelerator memory that a load takes, as configured when the
+            order was made; None if unknown.
     """
 
     target: ids.TargetId
@@ -58,6 +60,7 @@
     adapter: ids.AdapterName | None
     expected_sequence_number: int
     fencing_token: int
+    memory_mb: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/quetzalgauge/core/target_state.py
+++ b/src/quetzalgauge/core/target_state.py
@@ -175,6 +175,15 @@
         spec = self.engine.find_model(model)
         return spec.adapter_mb if spec else None
 
+    def _get_order_mb(self, order: orders.Order) -> float:
+        """Returns the accelerator memory in MB that a late load would take."""
+        if order.adapter is not None:
+            size_mb = self._get_adapter_size_mb(order.model)
+            return _choose_larger(order.memory_mb, size_mb) or 0.0
+        size_mb = self._get_size_mb(order.model)
+        memory_mb = _choose_larger(order.memory_mb, size_mb)
+        return self.engine.memory_mb if memory_mb is None else memory_mb
+
     def get_free_mb(self, now: datetime.timedelta) -> float:
         """Returns the accelerator memory in MB that an order may still use.
 
@@ -188,13 +197,8 @@
             used_mb += self.get_model_mb(name)
         used_mb += sum(map(self.get_adapter_mb, self.adapters))
         for order in self._find_late_loads(now):
-            spec = self.engine.models.get(order.model)
-            if spec is None:
-                continue
-            if order.adapter is not None:
-                used_mb += spec.adapter_mb
-            elif order.model not in self.replicas:
-                used_mb += spec.size_mb
+            if order.adapter is not None or order.model not in self.replicas:
+                used_mb += self._get_order_mb(order)
         return self.engine.memory_mb - used_mb
 
     def get_model_mb(self, model: ids.ModelName) -> float:
@@ -273,6 +277,9 @@
             adapter,
             self._sequence_number,
             fencing_token,
+            self._get_size_mb(model)
+            if adapter is None
+            else self._get_adapter_size_mb(model),
         )
         self.pending_order = order
         self._reserve_memory(order, now)
--- a/tests/test_core_withdrawn_models.py
+++ b/tests/test_core_withdrawn_models.py
@@ -20,11 +20,11 @@
     return test_core_zone_leader.LeaderHarness(loaded_models, **options)
 
 
-def withdraw(harness, *names, **engine_options):
-    """Applies a version without some models."""
-    models = [model for model in samples.MODELS if model.name not in names]
-    harness.leader.configure(samples.make_configuration(2, models=models))
-    return harness.reconcile()
+def withdraw(harness, *names, models=()):
+    """Applies a version without some models, or with others instead."""
+    kept = [model for model in samples.MODELS if model.name not in names]
+    config = samples.make_configuration(2, models=[*kept, *models])
+    harness.leader.configure(config)
 
 
 def order_load(harness, model="m5"):
@@ -178,3 +178,30 @@
     )
     state.configure(get_engine(versions[1]))
     assert state.get_free_mb(samples.seconds(100)) == 140_000
+
+
+@pytest.mark.parametrize("later_sizes", [(), (30_000,), (70_000,)])
+def test_memory_is_kept_for_a_late_load_of_a_withdrawn_model(later_sizes):
+    """Guards against a target that restarts and is loaded to the full.
+
+    The order to load the model fits again after the restart.
+    """
+    harness = make_harness()
+    order = order_load(harness)
+    assert order.expected_sequence_number > 0
+    harness.send_order_result(order, orders.Outcome.NO_RESPONSE)
+    models = [samples.make_model("m5", size) for size in later_sizes]
+    withdraw(harness, "m5", models=models)
+    restarted = samples.make_target(
+        "e1", samples.ENGINE_SERVICE, disk=MODEL_NAMES, incarnation=2
+    )
+    harness.fleet.directory.update(
+        samples.targets.RegistryUpdated((restarted,)), harness.now
+    )
+    harness.leader.sync_targets(harness.now)
+    harness.leader.apply_status(
+        orders.StatusResult("e1", 2, samples.make_status(), harness.now),
+        harness.now,
+    )
+    free_mb = harness.leader.dump(harness.now)["targets"]["e1"]["free_mb"]
+    assert free_mb == 200_000 - max((60_000, *later_sizes))
