Count loads of withdrawn models at the weight store

A version that withdraws a model while a target loads it from the weight store makes the leaders of all zones start another load in its place, so the store carries more than it can at full speed, and all loads are late.

Cause: a load in progress is looked up among the models of the newest version.

test_loads_of_withdrawn_models_still_count failed before: 0 loads were left.

--- a/src/quetzalgauge/core/zone_leader.py
+++ b/src/quetzalgauge/core/zone_leader.py
@@ -342,7 +342,7 @@
     def _track_store_loads(self, now: datetime.timedelta) -> None:
         """Tracks the loads from the weight store on the targets of all zones.
 
-        Loads of models that are not configured are ignored.
+        Loads of unknown models are ignored.
         """
         if self._config is None:
             return
@@ -357,7 +357,7 @@
             service = self._config.services.get(entry.service)
             if model is None or service is None or service.engine is None:
                 continue
-            spec = service.engine.models.get(model)
+            spec = service.engine.find_model(model)
             if spec is not None:
                 fetches[entry.target] = weight_store.Fetch(
                     model, spec.store_load_time
--- a/tests/test_core_withdrawn_models.py
+++ b/tests/test_core_withdrawn_models.py
@@ -205,3 +205,18 @@
     )
     free_mb = harness.leader.dump(harness.now)["targets"]["e1"]["free_mb"]
     assert free_mb == 200_000 - max((60_000, *later_sizes))
+
+
+def test_loads_of_withdrawn_models_still_count():
+    """Guards against more loads from the weight store than it can carry."""
+    names = [f"e{number}" for number in range(4)]
+    harness = test_core_zone_leader.SlowStoreHarness(names, MODEL_NAMES)
+    for _ in range(20):
+        harness.advance(0.2)
+    loads = harness.leader.store_loads
+    assert loads > 0
+    first, second = make_versions(samples.MODELS, samples.MODELS[:1])
+    harness.leader.configure(first)
+    harness.leader.configure(second)
+    harness.advance(0.2)
+    assert harness.leader.store_loads == loads
