Let a fetch go on when its nominal duration changes

A version that changes the load time of a model which a target loads from the weight store makes the load count as ended: store_load_ended is logged with a time that it did not take, and the capacity of the store may be estimated from it.

Cause: a fetch in progress is compared with its nominal duration, not only by its model. It now keeps the duration that it began with.

test_fetch_goes_on_if_its_nominal_duration_changes failed before: the fetch counted as finished after 9 s.

--- a/src/quetzalgauge/core/weight_store.py
+++ b/src/quetzalgauge/core/weight_store.py
@@ -112,7 +112,9 @@
         """
         finished = []
         for target, active in list(self._active.items()):
-            if fetches.get(target) != active.fetch:
+            fetch = fetches.get(target)
+            # A new configuration may change the nominal duration.
+            if fetch is None or fetch.model != active.fetch.model:
                 del self._active[target]
                 finished.append(
                     FinishedFetch(
--- a/tests/test_core_weight_store.py
+++ b/tests/test_core_weight_store.py
@@ -42,6 +42,18 @@
     assert harness.monitor.active_count == 1
 
 
+def test_fetch_goes_on_if_its_nominal_duration_changes():
+    """Guards against a load that counts as ended beside a new version."""
+    harness = MonitorHarness()
+    harness.start("t1", "t2")
+    harness.fetches["t1"] = weight_store.Fetch("m1", NOMINAL_DURATION / 2)
+    assert harness.observe(9) == []
+    (finished,) = harness.finish("t1", 1)
+    assert finished.duration == samples.seconds(10)
+    # It took as long as its load could take when it began.
+    assert harness.monitor.get_measured_capacity(harness.now) is None
+
+
 def test_fetches_without_slowdown_keep_default_capacity():
     harness = MonitorHarness()
     harness.start("t1", "t2", "t3")
