Unload models that the configuration does not list

A withdrawn model stays on its target until requests for another one take its place. Until then its memory is lost, and on a leader that never knew its size so is all the memory of the target: it loads no adapter.

A leader unloads such a model once no request for it runs, 5 s after it has found it unlisted: a series of versions may withdraw a model and list it again.

test_a_withdrawn_model_is_unloaded failed before: it was never unloaded.

--- a/src/quetzalgauge/core/zone_leader.py
+++ b/src/quetzalgauge/core/zone_leader.py
@@ -50,6 +50,9 @@
 MIN_RECONCILE_INTERVAL = datetime.timedelta(milliseconds=30)
 # Time between passes that also consider prefetch loads.
 PREFETCH_INTERVAL = datetime.timedelta(milliseconds=400)
+# A model that the configuration does not list is unloaded after this time. It
+# may be listed again in the next version.
+UNLISTED_MODEL_TTL = datetime.timedelta(seconds=5)
 # Time between checks for models that no target has a cached copy of.
 COVERAGE_INTERVAL = datetime.timedelta(seconds=1)
 # Maximum number of model names in a log line.
@@ -104,6 +107,9 @@
         self._models_without_copy: tuple[ids.ModelName, ...] = ()
         self._models_without_orders: tuple[ids.ModelName, ...] = ()
         self._unserved_since: dict[ids.ModelName, datetime.timedelta] = {}
+        self._unlisted_since: dict[
+            tuple[ids.TargetId, ids.ModelName], datetime.timedelta
+        ] = {}
         self._next_coverage_at = _ZERO
         self._published: dict[ids.TargetId, _PublishedTarget] = {}
         self._removed: dict[ids.TargetId, int] = {}
@@ -492,6 +498,51 @@
                 context = dataclasses.replace(
                     context, store_load_budget=context.store_load_budget - 1
                 )
+        if allow_prefetch:
+            new_orders += self._unload_unlisted_models(fencing_token, now)
+        return new_orders
+
+    def _unload_unlisted_models(
+        self, fencing_token: int, now: datetime.timedelta
+    ) -> list[orders.Order]:
+        """Returns orders to unload models that callers can no longer request.
+
+        Requests in progress are waited for.
+        """
+        self._unlisted_since = {
+            (target, model): self._unlisted_since.get((target, model), now)
+            for target, state in self._target_states.items()
+            for model in state.replicas
+            if model not in state.engine.models
+        }
+        new_orders = []
+        for (target, model), since in self._unlisted_since.items():
+            state = self._target_states[target]
+            if (
+                now - since < UNLISTED_MODEL_TTL
+                or target in self._reservations
+                or not state.can_accept_order(now)
+                or not state.is_ready(model, now)
+                or self._count_running(target, (model,))
+            ):
+                continue
+            order = state.create_order(
+                orders.Operation.UNLOAD, model, None, fencing_token, now
+            )
+            new_orders.append(order)
+            self._log_events.append(
+                log_events.LogEvent(
+                    "placement",
+                    {
+                        "target": target,
+                        "order": order.operation.value,
+                        "model": model,
+                        "why": "unlisted",
+                        "after": order.expected_sequence_number,
+                        "token": order.fencing_token,
+                    },
+                )
+            )
         return new_orders
 
     def _list_planned_models(self) -> dict[ids.TargetId, ids.ModelName]:
--- a/tests/test_core_withdrawn_models.py
+++ b/tests/test_core_withdrawn_models.py
@@ -220,3 +220,43 @@
     harness.leader.configure(second)
     harness.advance(0.2)
     assert harness.leader.store_loads == loads
+
+
+def list_unloaded(harness, duration):
+    """Returns the models that the leader orders to unload within a time."""
+    unloaded = []
+    for _ in range(round(duration / 0.1)):
+        for order in harness.advance(0.1):
+            harness.send_order_result(order)
+            if order.operation is UNLOAD:
+                unloaded.append(order.model)
+    return unloaded
+
+
+def list_models(harness, version, *names):
+    """Applies a version with some models."""
+    models = [model for model in samples.MODELS if model.name in names]
+    config = samples.make_configuration(version, models=models)
+    harness.leader.configure(config)
+
+
+def test_a_withdrawn_model_is_unloaded():
+    """Guards against memory of targets that nothing can use any more."""
+    harness = make_harness()
+    list_models(harness, 2, "m0", "m2")
+    running = [("e1", "m1", 1)]
+    for _ in range(4):
+        harness.send_report(running=running)
+        assert list_unloaded(harness, 2.0) == []
+    harness.send_report()
+    assert list_unloaded(harness, 1.0) == ["m1"]
+
+
+def test_a_model_that_is_listed_again_stays_loaded():
+    """Guards against loading a model anew after each of several versions."""
+    harness = make_harness()
+    for version in range(2, 8):
+        list_models(harness, version, "m0", "m2")
+        assert list_unloaded(harness, 3.0) == []
+        list_models(harness, version, "m0", "m1", "m2")
+        assert list_unloaded(harness, 1.0) == []
