Keep the states of targets whose service is withdrawn for a while

A version withdraws a service and the next one lists it again. The leader starts with new states of its targets: an order that is still on its way is forgotten, so another one may be sent beside it, and sizes that models were loaded with are replaced by those of the newest version.

Cause: a target without a configured service was treated like one that has ended.

--- a/src/quetzalgauge/core/target_state.py
+++ b/src/quetzalgauge/core/target_state.py
@@ -167,6 +167,18 @@
                 adapter.memory_mb, self._get_adapter_size_mb(model)
             )
 
+    def resume(
+        self, engine: configuration.Engine, now: datetime.timedelta
+    ) -> None:
+        """Goes on with a service that is listed again.
+
+        Others may have changed the target meanwhile, so a status report is
+        needed before the next order.
+        """
+        self.configure(engine)
+        if self.pending_order is None:
+            self._invalidate(now + STATUS_LAG)
+
     def _get_size_mb(self, model: ids.ModelName) -> float | None:
         spec = self.engine.find_model(model)
         return spec.size_mb if spec else None
--- a/src/quetzalgauge/core/zone_leader.py
+++ b/src/quetzalgauge/core/zone_leader.py
@@ -97,6 +97,10 @@
         self._fleet = fleet
         self._demand = demand.Demand()
         self._target_states: dict[ids.TargetId, target_state.TargetState] = {}
+        # Targets whose service the configuration does not list at present.
+        self._suspended_states: dict[
+            ids.TargetId, target_state.TargetState
+        ] = {}
         self._reservations: dict[ids.TargetId, _Reservation] = {}
         self._config: configuration.Configuration | None = None
         self._store_load_starts: list[datetime.timedelta] = []
@@ -201,33 +205,52 @@
         """Updates the set of target states from the target directory.
 
         A new incarnation of a target starts with a new state, apart from the
-        orders that it may still carry out.
+        orders that it may still carry out. A target whose service is withdrawn
+        goes on with its state when the service is listed again.
         """
         if self._config is None:
             return
         self._record_initial_replicas()
         zone_targets = {}
+        incarnations = {}
         for entry in self._fleet.directory:
+            if entry.availability_zone != self._zone:
+                continue
+            incarnations[entry.target] = entry.incarnation
             service = self._config.services.get(entry.service)
-            if (
-                entry.availability_zone == self._zone
-                and service is not None
-                and service.engine is not None
-            ):
+            if service is not None and service.engine is not None:
                 zone_targets[entry.target] = (entry, service.engine)
+        for states in (self._target_states, self._suspended_states):
+            for target, state in list(states.items()):
+                if incarnations.get(target) != state.incarnation:
+                    self._forget_state(target, now)
+        for target in self._target_states.keys() - zone_targets.keys():
+            state = self._target_states.pop(target)
+            self._suspended_states[target] = state
+            self._reservations.pop(target, None)
         for target, (entry, engine) in zone_targets.items():
-            state = self._target_states.get(target)
-            if state is None or state.incarnation != entry.incarnation:
-                self._forget_state(target, now)
+            if target in self._suspended_states:
+                state = self._suspended_states.pop(target)
+                state.resume(engine, now)
+                self._target_states[target] = state
+            elif target not in self._target_states:
                 self._target_states[target] = target_state.TargetState(
                     entry,
                     engine,
                     self._late_orders.list_earlier(target, entry.incarnation),
                 )
-            else:
-                state.description = entry
-        for target in self._target_states.keys() - zone_targets.keys():
-            self._forget_state(target, now)
+            self._target_states[target].description = entry
+
+    def _find_state(
+        self, target: ids.TargetId, incarnation: int
+    ) -> target_state.TargetState | None:
+        """Returns the state of a target unless it has ended."""
+        state = self._target_states.get(target)
+        if state is None:
+            state = self._suspended_states.get(target)
+        if state is None or state.incarnation != incarnation:
+            return None
+        return state
 
     def _forget_state(
         self, target: ids.TargetId, now: datetime.timedelta
@@ -236,6 +259,8 @@
         self._reservations.pop(target, None)
         self._resends.pop(target, None)
         state = self._target_states.pop(target, None)
+        if state is None:
+            state = self._suspended_states.pop(target, None)
         if state is not None and state.pending_order is not None:
             self._late_orders.record(state.pending_order, now)
 
@@ -273,8 +298,8 @@
         """Applies the result of an order."""
         if event.outcome is orders.Outcome.NO_RESPONSE:
             self._late_orders.record(event.order, now)
-        state = self._target_states.get(event.order.target)
-        if state is None or state.incarnation != event.order.incarnation:
+        state = self._find_state(event.order.target, event.order.incarnation)
+        if state is None:
             return
         state.apply_order_result(event, now)
         self._log_order_result(event)
@@ -283,8 +308,8 @@
         self, event: orders.StatusResult, now: datetime.timedelta
     ) -> None:
         """Applies the status of a target."""
-        state = self._target_states.get(event.target)
-        if state is None or state.incarnation != event.incarnation:
+        state = self._find_state(event.target, event.incarnation)
+        if state is None:
             return
         resend = state.apply_status(event, now)
         if resend is not None:
--- a/tests/test_core_withdrawn_models.py
+++ b/tests/test_core_withdrawn_models.py
@@ -260,3 +260,42 @@
         assert list_unloaded(harness, 3.0) == []
         list_models(harness, version, "m0", "m1", "m2")
         assert list_unloaded(harness, 1.0) == []
+
+
+def withdraw_service(harness):
+    """Applies a version without the engine service, then one with it again."""
+    desk = samples.configuration.Service(samples.PLAIN_SERVICE, 96)
+    limits = samples.configuration.CallerLimits()
+    without_engines = samples.configuration.Configuration(
+        2, samples.ROUTES, [desk], limits
+    )
+    for config in (without_engines, samples.make_configuration(3)):
+        harness.leader.configure(config)
+        harness.leader.sync_targets(harness.now)
+        harness.advance(0.1)
+
+
+def test_an_order_outlives_the_withdrawal_of_its_service():
+    """Guards against a load beside one that is still on its way."""
+    harness = make_harness()
+    order = order_load(harness)
+    withdraw_service(harness)
+    assert harness.leader.dump(harness.now)["targets"]["e1"]["order"] == "load"
+    assert harness.advance(0.5) == []
+    harness.send_order_result(order)
+    loaded = harness.leader.dump(harness.now)["targets"]["e1"]["models"]
+    assert loaded["m5"] == "loading"
+
+
+def test_a_target_is_asked_when_its_service_is_listed_again():
+    """Guards against orders that rely on what was known before."""
+    harness = make_harness()
+    withdraw_service(harness)
+    harness.send_report(["m5"])
+    assert harness.advance(0.1) == []
+    status = samples.make_status(["m0", "m5"], sequence_number=2)
+    harness.leader.apply_status(
+        orders.StatusResult("e1", 1, status, harness.now), harness.now
+    )
+    loaded = harness.leader.dump(harness.now)["targets"]["e1"]["models"]
+    assert loaded.keys() == {"m0", "m5"}
