Keep the sizes of loads that reports do not show yet

A load has no response, and a version with a lower size of the model comes before a report lists it: the model then counts with that size, and the next load may exceed the memory of the target.

Cause: the size was part of the state of a replica, and a report that does not list the model (yet, or any more) removes that. Sizes are kept apart from it now, until a report shows that the order was carried out or never will be.

--- a/src/quetzalgauge/core/target_state.py
+++ b/src/quetzalgauge/core/target_state.py
@@ -10,6 +10,7 @@
 import dataclasses
 import datetime
 import enum
+from typing import TypeAlias
 
 from quetzalgauge import ids
 from quetzalgauge.core import configuration
@@ -59,8 +60,6 @@
         state: Whether it is loading, ready or unloading.
         ready_at: When it is expected to be ready (or removed, if unloading).
         last_used_at: When a request for it last ran or waited.
-        memory_mb: Accelerator memory that it takes, the most that any version
-            of the configuration since its order says; None if unknown.
         is_confirmed: Whether a status report has listed it as loaded.
         is_estimate_reliable: Whether `ready_at` is reliable. It is not for a
             load from the weight store, which concurrent loads slow down.
@@ -69,7 +68,6 @@
     state: LoadState
     ready_at: datetime.timedelta
     last_used_at: datetime.timedelta
-    memory_mb: float | None = None
     is_confirmed: bool = False
     is_estimate_reliable: bool = True
 
@@ -77,6 +75,25 @@
 AdapterKey = tuple[ids.ModelName, ids.AdapterName]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Size:
+    """Accelerator memory of a model or an adapter.
+
+    Attributes:
+        memory_mb: The largest size of any version since the order to load it.
+        sequence_number: The sequence number that the order expected, or that of
+            the report that lists the model. Only a later report can show that
+            the target does not hold it.
+    """
+
+    memory_mb: float
+    sequence_number: int
+
+
+# The adapter is None for the model itself.
+_SizeKey: TypeAlias = tuple[ids.ModelName, ids.AdapterName | None]
+
+
 class TargetState:
     """State of one incarnation of a target, as seen by the zone leader.
 
@@ -109,6 +126,9 @@
         self.copies = description.copies
         self.replicas: dict[ids.ModelName, Replica] = {}
         self.adapters: dict[AdapterKey, Replica] = {}
+        # Sizes of what the target holds or may be loading. Reports do not list
+        # a model before its load has ended.
+        self._sizes: dict[_SizeKey, _Size] = {}
         self.pending_order: orders.Order | None = None
         self.available_at = _ZERO
         self.store_slowdown = 1.0
@@ -158,14 +178,20 @@
         What the target holds may still have the size that it was loaded with.
         """
         self.engine = engine
-        for model, replica in self.replicas.items():
-            replica.memory_mb = _choose_larger(
-                replica.memory_mb, self._get_size_mb(model)
-            )
-        for (model, _), adapter in self.adapters.items():
-            adapter.memory_mb = _choose_larger(
-                adapter.memory_mb, self._get_adapter_size_mb(model)
-            )
+        for key, size in self._sizes.items():
+            size_mb = self._get_size_mb(*key)
+            if size_mb is not None and size_mb > size.memory_mb:
+                self._sizes[key] = _Size(size_mb, size.sequence_number)
+        self._add_sizes(0)
+
+    def _add_sizes(self, sequence_number: int) -> None:
+        """Adds the sizes of what the target holds and that are missing."""
+        held: set[_SizeKey] = {(model, None) for model in self.replicas}
+        held |= self.adapters.keys()
+        for key in held - self._sizes.keys():
+            size_mb = self._get_size_mb(*key)
+            if size_mb is not None:
+                self._sizes[key] = _Size(size_mb, sequence_number)
 
     def resume(
         self, engine: configuration.Engine, now: datetime.timedelta
@@ -179,22 +205,26 @@
         if self.pending_order is None:
             self._invalidate(now + STATUS_LAG)
 
-    def _get_size_mb(self, model: ids.ModelName) -> float | None:
-        spec = self.engine.find_model(model)
-        return spec.size_mb if spec else None
+    def _get_size_mb(
+        self, model: ids.ModelName, adapter: ids.AdapterName | None
+    ) -> float | None:
+        """Returns the size in MB of a model or of its adapter, as configured.
 
-    def _get_adapter_size_mb(self, model: ids.ModelName) -> float | None:
+        None if the model is unknown.
+        """
         spec = self.engine.find_model(model)
-        return spec.adapter_mb if spec else None
+        if spec is None:
+            return None
+        return spec.size_mb if adapter is None else spec.adapter_mb
 
     def _get_order_mb(self, order: orders.Order) -> float:
         """Returns the accelerator memory in MB that a late load would take."""
-        if order.adapter is not None:
-            size_mb = self._get_adapter_size_mb(order.model)
-            return _choose_larger(order.memory_mb, size_mb) or 0.0
-        size_mb = self._get_size_mb(order.model)
-        memory_mb = _choose_larger(order.memory_mb, size_mb)
-        return self.engine.memory_mb if memory_mb is None else memory_mb
+        memory_mb = _choose_larger(
+            order.memory_mb, self._get_size_mb(order.model, order.adapter)
+        )
+        if memory_mb is None:
+            return self.engine.memory_mb if order.adapter is None else 0.0
+        return memory_mb
 
     def get_free_mb(self, now: datetime.timedelta) -> float:
         """Returns the accelerator memory in MB that an order may still use.
@@ -218,12 +248,13 @@
 
         A model of unknown size counts as the whole memory.
         """
-        memory_mb = self.replicas[model].memory_mb
-        return self.engine.memory_mb if memory_mb is None else memory_mb
+        size = self._sizes.get((model, None))
+        return size.memory_mb if size else self.engine.memory_mb
 
     def get_adapter_mb(self, adapter: AdapterKey) -> float:
         """Returns the accelerator memory in MB that a held adapter takes."""
-        return self.adapters[adapter].memory_mb or 0.0
+        size = self._sizes.get(adapter)
+        return size.memory_mb if size else 0.0
 
     def count_free_adapter_slots(self, now: datetime.timedelta) -> int:
         """Returns how many more adapters an order may load."""
@@ -289,9 +320,7 @@
             adapter,
             self._sequence_number,
             fencing_token,
-            self._get_size_mb(model)
-            if adapter is None
-            else self._get_adapter_size_mb(model),
+            self._get_size_mb(model, adapter),
         )
         self.pending_order = order
         self._reserve_memory(order, now)
@@ -320,23 +349,28 @@
         """Reserves the memory for a load before the order is sent."""
         if order.operation is not orders.Operation.LOAD:
             return
+        if order.memory_mb is not None:
+            key = (order.model, order.adapter)
+            memory_mb = order.memory_mb
+            previous = self._sizes.get(key)
+            expected = order.expected_sequence_number
+            if previous is not None and previous.sequence_number >= expected:
+                # An earlier order may be carried out in place of this one.
+                memory_mb = max(memory_mb, previous.memory_mb)
+            self._sizes[key] = _Size(memory_mb, expected)
         if order.adapter is None:
             self._fetching_model = None
             if not self.has_copy(order.model):
                 self._fetching_model = order.model
             ready_at = now + self.estimate_load_time(order.model)
             self.replicas[order.model] = Replica(
-                LoadState.LOADING,
-                ready_at,
-                now,
-                self._get_size_mb(order.model),
+                LoadState.LOADING, ready_at, now
             )
         else:
             self.adapters[(order.model, order.adapter)] = Replica(
                 LoadState.LOADING,
                 now + ORDER_ROUND_TRIP + ADAPTER_LOAD_TIME,
                 now,
-                self._get_adapter_size_mb(order.model),
             )
 
     def apply_order_result(
@@ -393,20 +427,15 @@
         if outcome is orders.Outcome.ALREADY_DONE and order.adapter is None:
             self._fetching_model = None
         if order.adapter is not None:
-            reserved = self.adapters.get((order.model, order.adapter))
             if outcome is orders.Outcome.ACCEPTED:
                 ready_at = now + ADAPTER_LOAD_TIME
+                reserved = self.adapters.get((order.model, order.adapter))
                 if reserved is not None and reserved.ready_at >= ready_at:
                     # Keeps the estimate that is already published to the
                     # instances, so that no further update is needed.
                     return
             self.adapters[(order.model, order.adapter)] = Replica(
-                LoadState.LOADING,
-                ready_at,
-                now,
-                reserved.memory_mb
-                if reserved
-                else self._get_adapter_size_mb(order.model),
+                LoadState.LOADING, ready_at, now
             )
             return
         if outcome is orders.Outcome.ACCEPTED:
@@ -421,13 +450,8 @@
             self._remove_model(model)
         spec = self.engine.find_model(order.model)
         is_reliable = spec is not None and ready_at - now < spec.store_load_time
-        reserved = self.replicas.get(order.model)
         self.replicas[order.model] = Replica(
-            LoadState.LOADING,
-            ready_at,
-            now,
-            reserved.memory_mb if reserved else self._get_size_mb(order.model),
-            is_estimate_reliable=is_reliable,
+            LoadState.LOADING, ready_at, now, is_estimate_reliable=is_reliable
         )
         self.available_at = self._expected_end_at = ready_at
         self._poll_at = ready_at + STATUS_LAG
@@ -658,9 +682,7 @@
         for model in loaded:
             replica = self.replicas.get(model)
             if replica is None:
-                replica = Replica(
-                    LoadState.READY, now, _ZERO, self._get_size_mb(model)
-                )
+                replica = Replica(LoadState.READY, now, _ZERO)
                 self.replicas[model] = replica
             if replica.state is LoadState.UNLOADING and status.is_busy:
                 continue
@@ -668,6 +690,21 @@
             replica.ready_at = min(replica.ready_at, now)
             replica.is_confirmed = True
         self._sync_adapters(status, now)
+        self._sync_sizes(status)
+
+    def _sync_sizes(self, status: orders.Status) -> None:
+        self._add_sizes(status.sequence_number)
+        if status.is_busy:
+            return
+        for key, size in list(self._sizes.items()):
+            model, adapter = key
+            is_held = (
+                model in self.replicas
+                if adapter is None
+                else (model, adapter) in self.adapters
+            )
+            if not is_held and size.sequence_number < status.sequence_number:
+                del self._sizes[key]
 
     def _sync_adapters(
         self, status: orders.Status, now: datetime.timedelta
@@ -682,12 +719,7 @@
             del self.adapters[key]
         for key in reported_keys:
             if key not in self.adapters:
-                self.adapters[key] = Replica(
-                    LoadState.READY,
-                    now,
-                    _ZERO,
-                    self._get_adapter_size_mb(key[0]),
-                )
+                self.adapters[key] = Replica(LoadState.READY, now, _ZERO)
 
     def mark_loads_ready(self, now: datetime.timedelta) -> None:
         """Marks loads as ready whose expected end has passed.
--- a/tests/test_core_withdrawn_models.py
+++ b/tests/test_core_withdrawn_models.py
@@ -299,3 +299,33 @@
     )
     loaded = harness.leader.dump(harness.now)["targets"]["e1"]["models"]
     assert loaded.keys() == {"m0", "m5"}
+
+
+@pytest.mark.parametrize(
+    "outcomes",
+    [
+        [orders.Outcome.NO_RESPONSE],
+        [orders.Outcome.NO_RESPONSE, orders.Outcome.CONFLICT],
+    ],
+)
+def test_a_load_without_a_response_keeps_its_size(outcomes):
+    """Guards against a load that exceeds the memory of a target.
+
+    Reports do not list the model before the load has ended, and the first one
+    may predate the load.
+    """
+    first, second = make_versions(
+        [samples.make_model("m0", 90_000)], [samples.make_model("m0", 60_000)]
+    )
+    state = samples.make_target_state(engine=get_engine(first))
+    now = samples.seconds(100)
+    order = state.create_order(LOAD, "m0", None, 1, now)
+    for outcome in outcomes:
+        state.apply_order_result(orders.OrderResult(order, outcome), now)
+    state.configure(get_engine(second))
+    reports = [([], 0, False), ([], 1, True), (["m0"], 1, False)]
+    for models, sequence_number, is_busy in reports:
+        now += samples.seconds(1)
+        status = samples.make_status(models, sequence_number, is_busy)
+        state.apply_status(orders.StatusResult("t1", 1, status, now), now)
+    assert state.get_free_mb(now) == 110_000
