Reject responses whose status is not valid

A target in trouble answers with a status that is none. 000 to 099, other lengths and signs never reached a caller: the parser refuses them, on safe and unsafe routes and streams, in seven forms, in resumed streams and before the body of the request has been read. 600 to 999 did: the caller got them as the answer, with the body, and as a rejection the same.

Cause: the parser takes any three digits from 100 on as a status. RFC 9110 (section 15) calls those over 599 invalid; such a response is malformed now, like the others, for targets and for the store.

test_mixed_responses and test_http_client_responses failed before in 17 cases (999, 600 in seven forms and before the body), and hold for 000 in all forms before and after.

--- a/src/quetzalgauge/node/response_parser.py
+++ b/src/quetzalgauge/node/response_parser.py
@@ -21,6 +21,8 @@
 MAX_INTERIM_RESPONSES = 16
 
 _CONTINUE = 100
+# Valid statuses are from 100 to 599 (RFC 9110, section 15).
+_MAX_STATUS = 599
 _METHODS_WITH_BODY = frozenset({"PATCH", "POST", "PUT"})
 
 
@@ -218,6 +220,8 @@
     """
     if event.http_version not in (b"1.0", b"1.1"):
         raise MalformedResponseError("unknown version of HTTP")
+    if event.status_code > _MAX_STATUS:
+        raise MalformedResponseError(f"invalid status {event.status_code}")
     names = {name for name, _ in event.headers}
     if {b"content-length", b"transfer-encoding"} <= names:
         raise MalformedResponseError("two framings")
--- a/src/quetzalgauge/standins/response_samples.py
+++ b/src/quetzalgauge/standins/response_samples.py
@@ -110,6 +110,45 @@
     return lambda k: [line + framed(k)[framed(k).index(b"\r\n") :]]
 
 
+def _with_status(status: bytes, respond: Callable[[str], bytes]) -> Sample:
+    """Returns a response with this status in place of 200."""
+    return lambda k: [respond(k).replace(b" 200 ", b" %b " % status, 1)]
+
+
+def _make_responses_with_status(status: bytes) -> dict[str, Sample]:
+    """Returns responses of several forms whose status is not valid."""
+    forms: dict[str, Callable[[str], bytes]] = {
+        "framed": framed,
+        "unframed": plain,
+        "chunked": chunked,
+        "rejection": lambda k: framed(k, Not_Run=1),
+        "version-1.0": lambda k: framed(k).replace(b"1.1", b"1.0", 1),
+        "without-reason": lambda k: framed(k).replace(b"Status", b"", 1),
+        "then-sound": lambda k: framed(k) + framed(k),
+    }
+    return {
+        f"status-{status.decode()}-{name}": _with_status(status, respond)
+        for name, respond in forms.items()
+    }
+
+
+# Valid statuses have three digits and are from 100 to 599.
+INVALID_STATUSES = (
+    b"099",
+    b"0",
+    b"00",
+    b"20",
+    b"0200",
+    b"2000",
+    b"-20",
+    b"+20",
+    b"2e2",
+    b"",
+    b"1000",
+    b"999",
+)
+
+
 # What a target sends before it closes the connection. None of it is a whole
 # response.
 BROKEN: dict[str, Sample] = {
@@ -205,6 +244,12 @@
     "status-after-blank-line": _with_status_line(b"\r\nHTTP/1.1 200 OK"),
     "status-version": _with_status_line(b"HTTP/1.x 200 OK"),
     "status-protocol": _with_status_line(b"ICY 200 OK"),
+    **{
+        f"status-{status.decode()}": _with_status(status, framed)
+        for status in INVALID_STATUSES
+    },
+    **_make_responses_with_status(b"000"),
+    **_make_responses_with_status(b"600"),
 }
 # Whole responses.
 SOUND: dict[str, Sample] = {
@@ -295,6 +340,12 @@
         )
         + END
     ],
+    **{
+        f"status-{status.decode()}": _with_status(
+            status, lambda k: stream(k, 3, 4)
+        )
+        for status in (b"000", b"099", b"600")
+    },
 }
 
 
--- a/tests/test_mixed_responses.py
+++ b/tests/test_mixed_responses.py
@@ -19,6 +19,7 @@
     "resumed": samples.BROKEN_RESUMPTIONS,
     "kept": samples.BETWEEN_RESPONSES,
     "repeated": dict.fromkeys(("200", "404", "500", "503", "stream")),
+    "early": dict.fromkeys(("000", "600")),
 }
 
 
@@ -45,6 +46,7 @@
         arrived = [r.request_id for target in pair for r in target.requests]
         return key, *result, arrived.count(key)
 
+    fetch.targets = pair
     return fetch
 
 
@@ -73,6 +75,28 @@
     assert results == {route: (502, b"", counts[route]) for route in counts}
 
 
+@pytest.mark.parametrize(
+    "call, status",
+    [(("early", status), status) for status in TABLES["early"]],
+    indirect=["call"],
+    ids=list(TABLES["early"]),
+)
+def test_invalid_status_before_the_body_is_not_passed_on(call, status):
+    """Guards against a status that is none while a body is being sent."""
+
+    def script(request):
+        response = samples.framed(request.request_id)
+        yield response.replace(b"200", status.encode(), 1)
+        yield samples.PAUSE
+        yield None
+
+    for target in call.targets:
+        target.reads_later = True
+    for route, count in (("ask", 2), ("once", 1)):
+        _, answer, _, _, attempts = call(route, script, data=b"x" * 60_000)
+        assert (answer, attempts) == (502, count)
+
+
 @each("sound")
 def test_sound_response_is_passed_on(call, case):
     """Guards against a parser that is stricter than the protocol."""
