Begin the leader election anew in each era of the store

The store may come back from a copy some seconds old. The group and the record of a zone are those of then: another member owns the partition and reads that the zone was released, that it was active itself, or that a short delay is left, while the last leader goes on within its lease. Two leaders give orders. Generations fall, so a later leader orders with a lower fencing token. And a conditional write may succeed since an offset was given out again.

Records now bear their era; one of another era, or none in a later one than the first, stands for an unknown active leader. An active leader goes on, but its lease is extended only once it owns the partition in the new era and has written its record there. Results of another era count as failed. Fencing tokens rise with the era.

--- a/src/quetzalgauge/core/election.py
+++ b/src/quetzalgauge/core/election.py
@@ -19,6 +19,20 @@
 A leader therefore stays active through a store outage of up to `LEADER_LEASE`,
 even if the store has reassigned the partition in the meantime, and a restarted
 machine becomes active again without a delay.
+
+The store may come back from an older copy of itself. Then another era begins:
+the group and the record may be those of some time ago, and offsets that were
+read before mean nothing. Each record bears the era that it was written in:
+
+- A record of another era proves nothing, nor does a missing one: any machine
+  may have been active last, so the new leader waits for the whole delay.
+- A leader that is active when it learns of the era stays so within its lease,
+  but the lease is only extended once it owns the partition in the new era and
+  has written an active record there, both before the lease has expired. Any
+  other owner of that era has to wait for longer than that lease, and finds that
+  record before its first order.
+- A call whose result belongs to another era than the read that it relies on
+  counts as failed.
 """
 
 import dataclasses
@@ -47,6 +61,12 @@
 TAKEOVER_RECORD_INTERVAL = datetime.timedelta(seconds=1.5)
 # Delay before the next attempt after a failed call.
 RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
+# Generations of one era are added to multiples of this, so that fencing tokens
+# rise from era to era even if generations fall.
+GENERATIONS_PER_ERA = 2**20
+# At the first start of the system, no machine was active before this era. An
+# instance that starts later can't tell a first era from the one after it.
+FIRST_START_ERA = 1
 
 _ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -67,6 +87,7 @@
             active, counted from this record. Once it is over, the leader lease
             of the previously active machine and the platform lease have
             expired. None if unknown.
+        era: Era of the store in which the record was written.
     """
 
     availability_zone: ids.AvailabilityZone
@@ -76,6 +97,17 @@
     active: bool = True
     released: bool = False
     takeover_delay_left: datetime.timedelta | None = None
+    era: ids.StoreEra = ids.UNNAMED_ERA
+
+
+def make_fencing_token(era: ids.StoreEra, generation: int) -> int:
+    """Returns the fencing token of the owner in a generation of the group."""
+    return (era - ids.UNNAMED_ERA) * GENERATIONS_PER_ERA + generation
+
+
+def get_generation(era: ids.StoreEra, fencing_token: int) -> int:
+    """Returns the generation of the group that a fencing token stands for."""
+    return fencing_token - make_fencing_token(era, 0)
 
 
 class _State(enum.Enum):
@@ -98,12 +130,14 @@
             the group; 0 after a failure.
         is_owner: Whether this instance owns the partition.
         failed: Whether there was no response.
+        era: Era of the store.
     """
 
     sent_at: datetime.timedelta
     generation: int
     is_owner: bool
     failed: bool = False
+    era: ids.StoreEra = ids.UNNAMED_ERA
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,6 +146,7 @@
 
     owner: str | None
     failed: bool = False
+    era: ids.StoreEra = ids.UNNAMED_ERA
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,11 +157,13 @@
         record: The zone's record, None if there is none.
         next_offset: Offset at which the store will append the next record.
         failed: Whether there was no response.
+        era: Era of the store.
     """
 
     record: LeaderRecord | None
     next_offset: int = 0
     failed: bool = False
+    era: ids.StoreEra = ids.UNNAMED_ERA
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,11 +176,13 @@
             written first.
         failed: Whether there was no response; the record may have been written
             nevertheless.
+        era: Era of the store.
     """
 
     record: LeaderRecord
     conflict: bool = False
     failed: bool = False
+    era: ids.StoreEra = ids.UNNAMED_ERA
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -243,6 +282,7 @@
         start_delay: Delay before the first claim, so that instances that start
             together do not all claim leadership at once.
         now: The current time.
+        is_first_start: Whether the whole system has never run before.
     """
 
     def __init__(
@@ -253,6 +293,7 @@
         platform_lease: datetime.timedelta,
         start_delay: datetime.timedelta,
         now: datetime.timedelta,
+        is_first_start: bool = False,
     ) -> None:
         self._zone = zone
         self._machine = machine
@@ -282,6 +323,14 @@
         self._grace_period_ends_at = now + LAST_LEADER_GRACE_PERIOD
         self._pending_resign_calls = 0  # Calls of `resign` that have not ended.
         self._is_call_pending = False
+        self._era: ids.StoreEra | None = None  # None until the store responds.
+        # Era of the last join that was confirmed.
+        self._joined_era: ids.StoreEra | None = None
+        self._is_first_start = is_first_start
+        # Whether a missing record shows that no machine was active.
+        self._is_first_era = False
+        # End of the lease once the record of a new era is written.
+        self._next_lease_expires_at = _ZERO
         self._log_events: list[log_events.LogEvent] = []
 
     @property
@@ -323,7 +372,7 @@
 
         Zero if this instance is not an active leader.
         """
-        if self._state is not _State.MEMBER or not self._is_active:
+        if not self._is_active:
             return _ZERO
         if now < self._active_from:
             return _ZERO
@@ -357,6 +406,40 @@
             self._last_record = record
             self._last_record_seen_at = now
 
+    def observe_era(self, era: ids.StoreEra, now: datetime.timedelta) -> None:
+        """Begins another era if the store has come back from a copy."""
+        if self._era is None:
+            self._era = era
+            last_first_era = FIRST_START_ERA if self._is_first_start else 0
+            self._is_first_era = era <= last_first_era
+            return
+        if era <= self._era or self._state is _State.RESIGNED:
+            return
+        self._log("seat_era", {"era": era, "active": self._is_active})
+        self._era = era
+        self._is_first_era = False
+        self._generation = 0
+        self._written_record = None
+        if self._state in (_State.READING_RECORD, _State.WRITING_RECORD):
+            # Ownership has to be confirmed in this era first.
+            self._state = _State.MEMBER
+        if self._state is _State.MEMBER:
+            self._must_recheck_ownership = True
+            self._next_action_at = now
+
+    def _is_outdated(self, event: Event) -> bool:
+        """Whether a result belongs to another era than what it relies on."""
+        match event:
+            case LeaveResult():
+                return False
+            case ReadRecordResult():
+                has_begun_anew = self._state is not _State.READING_RECORD
+            case WriteRecordResult():
+                has_begun_anew = self._state is not _State.WRITING_RECORD
+            case _:
+                has_begun_anew = False
+        return has_begun_anew or (not event.failed and event.era != self._era)
+
     def handle_event(self, event: Event, now: datetime.timedelta) -> None:
         """Processes the result of a call to the store."""
         self._is_call_pending = False
@@ -364,6 +447,11 @@
             if isinstance(event, LeaveResult):
                 self._pending_resign_calls -= 1
             return
+        if not isinstance(event, LeaveResult) and not event.failed:
+            self.observe_era(event.era, now)
+        if self._is_outdated(event):
+            self._next_action_at = now
+            return
         match event:
             case JoinResult():
                 self._handle_join(event, now)
@@ -475,29 +563,40 @@
             self._next_action_at = now + RETRY_INTERVAL
             return
         self._must_recheck_ownership = False
+        has_new_era = event.era != self._joined_era
         has_generation_changed = event.generation != self._generation
+        self._joined_era = event.era
         self._generation = event.generation
         if not event.is_owner:
             self._step_down(now)
             return
         has_lease_expired = now >= self._lease_expires_at
-        self._lease_expires_at = event.sent_at + LEADER_LEASE
+        self._next_lease_expires_at = event.sent_at + LEADER_LEASE
         if (
             self._is_leader
+            and not has_new_era
             and not has_generation_changed
             and not has_lease_expired
         ):
+            self._lease_expires_at = self._next_lease_expires_at
             self._schedule_renewal(event.sent_at, now)
             return
-        # Another machine may have been the leader in between.
+        # Another machine may have been the leader in between. Not in another
+        # era, as long as the lease of the one before has not expired.
         self._elected_at = now
-        self._fencing_token = event.generation
+        self._fencing_token = make_fencing_token(event.era, event.generation)
         self._is_leader = True
-        self._is_active = False
+        if not (self._is_active and has_new_era) or has_lease_expired:
+            self._lose_lease()
         self._written_record = None
         self._state = _State.READING_RECORD
         self._next_action_at = now
 
+    def _lose_lease(self) -> None:
+        """Begins a takeover delay as a leader that was not active before."""
+        self._is_active = False
+        self._lease_expires_at = self._next_lease_expires_at
+
     def _schedule_renewal(
         self, sent_at: datetime.timedelta, now: datetime.timedelta
     ) -> None:
@@ -549,7 +648,13 @@
             self._state = _State.MEMBER
             self._next_action_at = now
             return
-        if self._written_record is None or event.record != self._written_record:
+        if self._is_active and (
+            now >= self._lease_expires_at or self._has_active_successor()
+        ):
+            self._lose_lease()
+        if not self._is_active and (
+            self._written_record is None or event.record != self._written_record
+        ):
             # A record that is read later never shortens the takeover delay.
             self._active_from = max(
                 self._active_from, self._earliest_active_at()
@@ -572,9 +677,28 @@
     def _earliest_active_at(self) -> datetime.timedelta:
         """Returns when the takeover delay ends, by the last record read."""
         last_record = self._last_record
-        if last_record is None or (
-            self._is_last_leader() and last_record.active
-        ):
+        lease_with_margin = self._platform_lease + CLOCK_DRIFT_MARGIN
+        if last_record is None:
+            if self._is_first_era:
+                return self._elected_at
+        elif last_record.era == self._era:
+            return self._earliest_active_after(last_record)
+        return self._elected_at + LEADER_LEASE + lease_with_margin
+
+    def _has_active_successor(self) -> bool:
+        """Whether another machine was active in this era."""
+        record = self._last_record
+        return (
+            record is not None
+            and record.era == self._era
+            and record.active
+            and record.machine != self._machine
+        )
+
+    def _earliest_active_after(
+        self, last_record: LeaderRecord
+    ) -> datetime.timedelta:
+        if self._is_last_leader() and last_record.active:
             return self._elected_at
         lease_with_margin = self._platform_lease + CLOCK_DRIFT_MARGIN
         if last_record.released:
@@ -598,6 +722,8 @@
         self._last_record = event.record
         self._last_record_seen_at = now
         self._written_record = event.record
+        if self._is_active:
+            self._lease_expires_at = self._next_lease_expires_at
         self._is_active = event.record.active
         self._state = _State.MEMBER
         self._record_due_at = min(
@@ -638,6 +764,7 @@
             self._address,
             self._fencing_token,
             active,
+            era=self._era if self._era is not None else ids.UNNAMED_ERA,
         )
 
     def _log(self, event: str, fields: dict[str, object]) -> None:
--- a/src/quetzalgauge/ids.py
+++ b/src/quetzalgauge/ids.py
@@ -1,4 +1,4 @@
-"""Types of identifiers. Their values are opaque strings."""
+"""Types of identifiers. The values of most are opaque strings."""
 
 from typing import NewType
 
@@ -12,3 +12,9 @@
 TopicName = NewType("TopicName", str)
 RequestId = NewType("RequestId", str)
 PromptPart = NewType("PromptPart", str)
+# Number of a history of the store. It rises each time the store comes back from
+# an older copy of itself; what was written since that copy is gone then, and
+# offsets and generations may be given out again.
+StoreEra = NewType("StoreEra", int)
+# Stands for the era of a store that does not name one.
+UNNAMED_ERA = StoreEra(-1)
--- a/tests/test_core_election.py
+++ b/tests/test_core_election.py
@@ -33,6 +33,8 @@
         self.record = None
         self.next_offset = 0
         self.delayed_writes = []  # Writes without a response, executed later.
+        self.era = election.ids.UNNAMED_ERA
+        self.copies = []  # Times, and what the store held then.
 
     def expire(self, now):
         for machine, joined_at in list(self.members.items()):
@@ -45,7 +47,39 @@
             self.owner = min(self.members)
             self.generation += 1
 
+    def keep_copy(self, now):
+        held = (
+            dict(self.members),
+            self.owner,
+            self.generation,
+            self.record,
+            self.next_offset,
+        )
+        self.copies.append((now, held))
+
+    def restore(self, now, age):
+        """Comes back from a copy of some time ago, in another era."""
+        if not self.copies:
+            self.keep_copy(now)
+        _, held = max(
+            (copy for copy in self.copies if copy[0] <= now - age),
+            key=lambda copy: copy[0],
+            default=self.copies[0],
+        )
+        members, self.owner, self.generation, self.record, offset = held
+        self.members = dict(members)
+        self.next_offset = offset
+        self.era = max(0, self.era) + 1
+
     def execute(self, action, now):
+        """Returns the result of a call, with the era in which it was made."""
+        result = self._execute(action, now)
+        self.keep_copy(now)
+        if isinstance(result, election.LeaveResult):
+            return result
+        return dataclasses.replace(result, era=self.era)
+
+    def _execute(self, action, now):
         self.expire(now)
         match action:
             case election.Join():
@@ -101,10 +135,16 @@
 class Member:
     """A group member: one instance's election and its calls to the store."""
 
-    def __init__(self, name, now):
+    def __init__(self, name, now, is_first_start=False):
         self.name = name
         self.election = election.LeaderElection(
-            ZONE, name, "10.0.0.1:1", PLATFORM_LEASE, samples.seconds(0), now
+            ZONE,
+            name,
+            "10.0.0.1:1",
+            PLATFORM_LEASE,
+            samples.seconds(0),
+            now,
+            is_first_start,
         )
         self.pending_call = None  # The action in progress and when it was sent.
         self.election.observe_record(None, now)
@@ -127,9 +167,7 @@
             if not response_lost:
                 event = result
         if isinstance(event, election.JoinResult):
-            event = election.JoinResult(
-                sent_at, event.generation, event.is_owner, event.failed
-            )
+            event = dataclasses.replace(event, sent_at=sent_at)
         self.election.handle_event(event, now)
         self.election.observe_record(store.record, now)
 
