Order the updates of zone leaders by era

After a restoration, generations of the store begin again some steps lower. The update of a new leader has a lower token than that of the one before, so all other instances ignore it, until its generation has passed the old one: no request of theirs reaches the models that it loads.

Messages between instances bear the era of the store, and their token counts within it; instances of older builds send and see generations as before, and are compared by them.

test_zone_updates_are_ordered_by_era_and_generation: by generations alone, the first two of its cases fail.

--- a/idl/exchange.thrift
+++ b/idl/exchange.thrift
@@ -68,6 +68,9 @@
   // Absent if nothing has changed, and in messages of older builds.
   8: optional list<Evidence> evidence,
   9: optional list<TrialWish> trial_wishes,
+  // Era of the store that the offsets belong to; absent if the store names none,
+  // and in messages of older builds.
+  10: optional i64 era,
 }
 
 struct ReplicaView {
@@ -112,6 +115,9 @@
   12: optional list<Evidence> evidence,
   // Absent if the holder grants no trials, as in older builds.
   13: optional list<TrialGrant> grants,
+  // Era of the store that the token and the offsets belong to; absent if the
+  // store names none, and in messages of older builds.
+  14: optional i64 era,
 }
 
 // Exactly one of the two is set.
--- a/src/quetzalgauge/core/election.py
+++ b/src/quetzalgauge/core/election.py
@@ -302,6 +302,7 @@
         self._state = _State.STANDBY
         self._generation = 0
         self._fencing_token = 0
+        self._token_era = ids.UNNAMED_ERA
         self._is_leader = False
         self._is_active = False
         self._next_offset = 0
@@ -355,6 +356,11 @@
         """The fencing token of this leader."""
         return self._fencing_token
 
+    @property
+    def token_era(self) -> ids.StoreEra:
+        """Era of the store that the fencing token belongs to."""
+        return self._token_era
+
     @property
     def active_from(self) -> datetime.timedelta:
         """When the takeover delay of a new leader ends."""
@@ -585,6 +591,7 @@
         # era, as long as the lease of the one before has not expired.
         self._elected_at = now
         self._fencing_token = make_fencing_token(event.era, event.generation)
+        self._token_era = event.era
         self._is_leader = True
         if not (self._is_active and has_new_era) or has_lease_expired:
             self._lose_lease()
@@ -764,7 +771,7 @@
             self._address,
             self._fencing_token,
             active,
-            era=self._era if self._era is not None else ids.UNNAMED_ERA,
+            era=self._token_era,
         )
 
     def _log(self, event: str, fields: dict[str, object]) -> None:
--- a/src/quetzalgauge/core/fleet.py
+++ b/src/quetzalgauge/core/fleet.py
@@ -12,6 +12,7 @@
 
 from quetzalgauge import ids
 from quetzalgauge.core import configuration
+from quetzalgauge.core import election
 from quetzalgauge.core import health
 from quetzalgauge.core import peer_messages
 from quetzalgauge.core import targets
@@ -35,6 +36,7 @@
 class _ZoneState:
     leader: ids.InstanceId
     fencing_token: int
+    era: ids.StoreEra
     last_heard_at: datetime.timedelta
     leader_active_from: datetime.timedelta | None
     backlog: int
@@ -192,14 +194,21 @@
         """
         zone = update.availability_zone
         state = self._zones.get(zone)
-        if state is not None and update.fencing_token < state.fencing_token:
+        if state is not None and _is_from_former_leader(state, update):
             return
         if state is None or state.leader != update.leader or update.is_snapshot:
             state = _ZoneState(
-                update.leader, update.fencing_token, now, now, 0, 1
+                update.leader,
+                update.fencing_token,
+                update.era,
+                now,
+                now,
+                0,
+                1,
             )
             self._zones[zone] = state
         state.fencing_token = update.fencing_token
+        state.era = update.era
         state.last_heard_at = now
         state.leader_active_from = None
         if update.time_until_active is not None:
@@ -680,6 +689,18 @@
         )
 
 
+def _is_from_former_leader(
+    state: _ZoneState, update: peer_messages.ZoneUpdate
+) -> bool:
+    """Whether the sender of an update is no longer the leader of the zone."""
+    if ids.UNNAMED_ERA in (state.era, update.era):
+        # An instance of an older build sends no era.
+        return election.get_generation(
+            update.era, update.fencing_token
+        ) < election.get_generation(state.era, state.fencing_token)
+    return update.fencing_token < state.fencing_token
+
+
 def has_copy(model: ids.ModelName, copies: targets.CachedCopies) -> bool:
     """Returns whether a model need not be loaded from the weight store."""
     return model in copies.in_memory or model in copies.on_disk
--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -94,11 +94,20 @@
         topic: The topic.
         offset: Offset after the last record that was read.
         read_interval: Least time between the starts of two reads.
+        era: Era of the store.
     """
 
     topic: ids.TopicName
     offset: int
     read_interval: datetime.timedelta
+    era: ids.StoreEra = ids.UNNAMED_ERA
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EraBegun:
+    """The store has come back from an older copy of itself."""
+
+    era: ids.StoreEra
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,6 +155,7 @@
     | ConfigurationRead
     | LeaderRecordsRead
     | TopicRead
+    | EraBegun
     | LinkClosed
     | LinkOpened
     | MessageReceived
@@ -371,6 +381,9 @@
             actions = self._handle_order_event(event, now)
         elif isinstance(event, _REQUEST_EVENTS):
             actions = list(self._gateway.handle_event(event, now))
+        elif isinstance(event, EraBegun):
+            self._election.observe_era(event.era, now)
+            actions = []
         else:
             actions = self._handle_instance_event(event, now)
         return actions + self._run_due_work(now)
@@ -795,6 +808,7 @@
                         )
                     ),
                     grants=grants,
+                    era=self._election.token_era,
                 )
             self._published_revisions[link] = leader.revision
             actions.append(SendMessage(link, updates[key]))
@@ -805,11 +819,14 @@
                 else None
             )
             self._fleet.apply_zone_update(
-                leader.make_update(
-                    since_revision,
-                    self._election.fencing_token,
-                    time_until_active,
-                    now,
+                dataclasses.replace(
+                    leader.make_update(
+                        since_revision,
+                        self._election.fencing_token,
+                        time_until_active,
+                        now,
+                    ),
+                    era=self._election.token_era,
                 ),
                 now,
             )
--- a/src/quetzalgauge/core/peer_messages.py
+++ b/src/quetzalgauge/core/peer_messages.py
@@ -70,6 +70,7 @@
         evidence: Evidence against prompt parts that the sender has changed,
             from time to time all of it, or None.
         trial_wishes: Requests that wait for a trial or are one.
+        era: Era of the store that the offsets belong to.
     """
 
     instance: ids.InstanceId
@@ -81,6 +82,7 @@
     offsets: tuple[tuple[ids.TopicName, int], ...] = ()
     evidence: tuple[prompt_quarantine.Evidence, ...] | None = None
     trial_wishes: tuple[prompt_trials.TrialWish, ...] = ()
+    era: ids.StoreEra = ids.UNNAMED_ERA
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,6 +161,7 @@
             time all of it, or None.
         grants: The trials that the leader has granted; None from a leader that
             grants none at all.
+        era: Era of the store that the token and the offsets belong to.
     """
 
     availability_zone: ids.AvailabilityZone
@@ -174,6 +177,7 @@
     offsets: tuple[tuple[ids.TopicName, int], ...] = ()
     evidence: tuple[prompt_quarantine.Evidence, ...] | None = None
     grants: tuple[prompt_trials.TrialGrant, ...] | None = None
+    era: ids.StoreEra = ids.UNNAMED_ERA
 
 
 Message: TypeAlias = Report | ZoneUpdate
--- a/src/quetzalgauge/gen/exchange/ttypes.py
+++ b/src/quetzalgauge/gen/exchange/ttypes.py
@@ -809,6 +809,7 @@
      - offsets
      - evidence
      - trial_wishes
+     - era
 
     """
 
@@ -822,10 +823,11 @@
         'offsets',
         'evidence',
         'trial_wishes',
+        'era',
     )
 
 
-    def __init__(self, instance=None, wishes=None, adapter_wishes=None, running=None, arrivals=None, adapter_arrivals=None, offsets=None, evidence=None, trial_wishes=None,):
+    def __init__(self, instance=None, wishes=None, adapter_wishes=None, running=None, arrivals=None, adapter_arrivals=None, offsets=None, evidence=None, trial_wishes=None, era=None,):
         self.instance = instance
         self.wishes = wishes
         self.adapter_wishes = adapter_wishes
@@ -835,6 +837,7 @@
         self.offsets = offsets
         self.evidence = evidence
         self.trial_wishes = trial_wishes
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -938,6 +941,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1011,6 +1019,10 @@
                 iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 10)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1406,6 +1418,7 @@
      - store_capacity
      - evidence
      - grants
+     - era
 
     """
 
@@ -1423,10 +1436,11 @@
         'store_capacity',
         'evidence',
         'grants',
+        'era',
     )
 
 
-    def __init__(self, availability_zone=None, holder=None, token=None, complete=None, orders_in=None, backlog=None, instances=None, targets=None, gone=None, offsets=None, store_capacity=None, evidence=None, grants=None,):
+    def __init__(self, availability_zone=None, holder=None, token=None, complete=None, orders_in=None, backlog=None, instances=None, targets=None, gone=None, offsets=None, store_capacity=None, evidence=None, grants=None, era=None,):
         self.availability_zone = availability_zone
         self.holder = holder
         self.token = token
@@ -1440,6 +1454,7 @@
         self.store_capacity = store_capacity
         self.evidence = evidence
         self.grants = grants
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1544,6 +1559,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1622,6 +1642,10 @@
                 iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 14)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1796,6 +1820,7 @@
     (7, TType.MAP, 'offsets', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 7
     (8, TType.LIST, 'evidence', (TType.STRUCT, [Evidence, None], False), None, ),  # 8
     (9, TType.LIST, 'trial_wishes', (TType.STRUCT, [TrialWish, None], False), None, ),  # 9
+    (10, TType.I64, 'era', None, None, ),  # 10
 )
 all_structs.append(ReplicaView)
 ReplicaView.thrift_spec = (
@@ -1839,6 +1864,7 @@
     (11, TType.I32, 'store_capacity', None, None, ),  # 11
     (12, TType.LIST, 'evidence', (TType.STRUCT, [Evidence, None], False), None, ),  # 12
     (13, TType.LIST, 'grants', (TType.STRUCT, [TrialGrant, None], False), None, ),  # 13
+    (14, TType.I64, 'era', None, None, ),  # 14
 )
 all_structs.append(Message)
 Message.thrift_spec = (
--- a/src/quetzalgauge/node/codec.py
+++ b/src/quetzalgauge/node/codec.py
@@ -12,6 +12,7 @@
 from quetzalgauge import exceptions
 from quetzalgauge import ids
 from quetzalgauge import json_fields
+from quetzalgauge.core import election
 from quetzalgauge.core import peer_messages
 from quetzalgauge.core import prompt_quarantine
 from quetzalgauge.core import prompt_trials
@@ -109,9 +110,20 @@
             for wish in report.trial_wishes
         ]
         or None,
+        _encode_era(report.era),
     )
 
 
+def _encode_era(era: ids.StoreEra) -> int | None:
+    return None if era == ids.UNNAMED_ERA else era
+
+
+def _decode_era(value: Any) -> ids.StoreEra:
+    if value is None:
+        return ids.UNNAMED_ERA
+    return ids.StoreEra(_check_number(value))
+
+
 def _check_text(value: Any) -> str:
     if not isinstance(value, str):
         raise exceptions.DecodeError("a string is missing")
@@ -177,6 +189,7 @@
             )
             for wish in (wire.trial_wishes or ())[: prompt_trials.MAX_WISHES]
         ),
+        _decode_era(wire.era),
     )
 
 
@@ -288,7 +301,8 @@
     return ttypes.Board(
         update.availability_zone,
         update.leader,
-        update.fencing_token,
+        # Instances of older builds compare generations.
+        election.get_generation(update.era, update.fencing_token),
         update.is_snapshot,
         (
             _UNKNOWN_MS
@@ -313,6 +327,7 @@
             )
             for grant in update.grants
         ],
+        _encode_era(update.era),
     )
 
 
@@ -345,10 +360,12 @@
 
 def _decode_zone_update(wire: ttypes.Board) -> peer_messages.ZoneUpdate:
     time_until_active = _decode_duration(wire.orders_in)
+    era = _decode_era(wire.era)
+    generation = _check_number(wire.token, json_fields.INTEGER)
     return peer_messages.ZoneUpdate(
         ids.AvailabilityZone(_check_text(wire.availability_zone)),
         ids.InstanceId(_check_text(wire.holder)),
-        _check_number(wire.token, json_fields.INTEGER),
+        election.make_fencing_token(era, generation),
         _check_flag(wire.complete),
         None if wire.orders_in < 0 else time_until_active,
         _check_number(wire.backlog),
@@ -373,6 +390,7 @@
             )
             for grant in wire.grants[: prompt_trials.MAX_GRANTS]
         ),
+        era,
     )
 
 
--- a/tests/test_core_fleet.py
+++ b/tests/test_core_fleet.py
@@ -7,6 +7,7 @@
 import core_samples as samples
 import pytest
 
+from quetzalgauge.core import election
 from quetzalgauge.core import fleet as fleet_module
 from quetzalgauge.core import gateway
 from quetzalgauge.core import health
@@ -278,3 +279,47 @@
         in_window = sum(end - window < time <= end for time in retry_times)
         assert in_window <= 0.2 * 1000 + 52
     assert len(retry_times) > 0.1 * requests
+
+
+def make_zone_update(era, generation, leader="qg-1"):
+    era = fleet_module.ids.StoreEra(era)
+    return peer_messages.ZoneUpdate(
+        samples.ZONE,
+        leader,
+        election.make_fencing_token(era, generation),
+        True,
+        samples.seconds(0),
+        0,
+        1,
+        (),
+        era=era,
+    )
+
+
+UNNAMED = fleet_module.ids.UNNAMED_ERA
+
+
+@pytest.mark.parametrize(
+    ("updates", "is_applied"),
+    [
+        ([(1, 9), (2, 3)], True),
+        ([(2, 3), (1, 9)], False),
+        ([(2, 3), (2, 2)], False),
+        ([(2, 9), (UNNAMED, 10)], True),
+        ([(2, 9), (UNNAMED, 8)], False),
+        ([(UNNAMED, 9), (2, 10)], True),
+        ([(UNNAMED, 9), (UNNAMED, 8)], False),
+    ],
+)
+def test_zone_updates_are_ordered_by_era_and_generation(updates, is_applied):
+    """Guards against a leader that is ignored after the store lost some time.
+
+    Instances of older builds send no era.
+    """
+    fleet = fleet_module.Fleet(samples.ZONE, health.HealthTracker())
+    for number, (era, generation) in enumerate(updates):
+        update = make_zone_update(era, generation, f"qg-{number}")
+        fleet.apply_zone_update(update, samples.seconds(1))
+    zones = fleet_module.zones_to_json(fleet, samples.seconds(1))
+    leader = zones[samples.ZONE]["holder"]
+    assert leader == ("qg-1" if is_applied else "qg-0")
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -13,6 +13,8 @@
 from thrift.transport import TTransport
 
 from quetzalgauge import exceptions
+from quetzalgauge import ids
+from quetzalgauge.core import election
 from quetzalgauge.core import node
 from quetzalgauge.core import peer_messages
 from quetzalgauge.core import prompt_quarantine
@@ -350,3 +352,25 @@
         peer.sendall(frame)
         received = [events.get(timeout=5) for _ in range(2)]
     assert [type(event) for event in received] == [node.MessageReceived] * 2
+
+
+@pytest.mark.parametrize("era", [None, 0, 3])
+def test_an_era_survives_a_round_trip(era):
+    """Guards against instances of older builds that see other tokens."""
+    if era is None:
+        era = ids.UNNAMED_ERA
+    report = peer_messages.Report("qg-1", era=era)
+    assert codec.decode(codec.encode(report)) == report
+    update = peer_messages.ZoneUpdate(
+        "zone-a",
+        "qg-1",
+        election.make_fencing_token(era, 7),
+        True,
+        None,
+        0,
+        1,
+        (),
+        era=era,
+    )
+    assert codec.decode(codec.encode(update)) == update
+    assert codec._encode_zone_update(update).token == 7
