Compare how far instances have read within an era only

After a restoration, the offsets of an instance that has read in the new era are lower than those that its peers have told before: its reads count as behind and are renewed every 3 s, and an instance that still reads in the old era counts as up to date.

Offsets are compared within an era. An instance that is told of a later one renews its read.

Three new tests of test_core_read_progress; without the comparison of eras, each of them fails.

--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -482,7 +482,7 @@
     ) -> list[Action]:
         """Records a read; a leader tells of news that is not read often."""
         has_news = self._read_progress.record_read(
-            event.topic, event.offset, event.read_interval, now
+            event.topic, event.offset, event.read_interval, now, event.era
         )
         if self._leader is None or not has_news or event.read_interval:
             return []
@@ -610,7 +610,7 @@
         self, event: MessageReceived, now: datetime.timedelta
     ) -> list[Action]:
         message = event.message
-        self._read_progress.record_peer(dict(message.offsets), now)
+        self._read_progress.record_peer(dict(message.offsets), now, message.era)
         if isinstance(message, peer_messages.ZoneUpdate):
             # Without this order, two leaders could rely on each other.
             if (
@@ -618,7 +618,7 @@
                 or message.availability_zone < self._leader.zone
             ):
                 self._read_progress.record_confirmation(
-                    dict(message.offsets), now
+                    dict(message.offsets), now, message.era
                 )
             self._fleet.apply_zone_update(message, now)
             return [
@@ -799,7 +799,9 @@
                         time_until_active,
                         now,
                     ),
-                    offsets=self._read_progress.list_current_offsets(now),
+                    offsets=self._read_progress.list_current_offsets(
+                        self._election.token_era, now
+                    ),
                     evidence=(
                         None
                         if evidence_since is None
@@ -863,6 +865,7 @@
             report = dataclasses.replace(
                 reporter.build_report(self._identity.instance, zone, now),
                 offsets=self._read_progress.offsets,
+                era=self._read_progress.era,
                 evidence=evidence,
                 trial_wishes=trial_wishes,
             )
--- a/src/quetzalgauge/core/read_progress.py
+++ b/src/quetzalgauge/core/read_progress.py
@@ -5,6 +5,9 @@
 each topic with short polls, whose end shows that there is nothing new. It tells
 the others how far it has read. One that has read less renews its read, and one
 that is told nothing reads with short polls itself.
+
+Offsets of two eras of the store can't be compared. An instance that is told of
+a later era renews its reads.
 """
 
 from collections.abc import Mapping
@@ -25,12 +28,16 @@
 # may take, so that a renewal does not interrupt the previous one.
 RENEWAL_INTERVAL = datetime.timedelta(seconds=3)
 
+# Above all offsets.
+_NEVER_READ = 2**63
+
 
 @dataclasses.dataclass(slots=True)
 class _Topic:
     read_interval: datetime.timedelta
     offset: int
     read_at: datetime.timedelta
+    era: ids.StoreEra
     confirmed_at: datetime.timedelta = -MAX_SILENCE
     has_short_polls: bool = True
     peer_offset: int = 0
@@ -44,22 +51,33 @@
 
     def __init__(self) -> None:
         self._topics: dict[ids.TopicName, _Topic] = {}
+        self._era = ids.UNNAMED_ERA
+
+    @property
+    def era(self) -> ids.StoreEra:
+        """The latest era in which this instance has read a topic."""
+        return self._era
 
     @property
     def offsets(self) -> tuple[tuple[ids.TopicName, int], ...]:
-        """The offset up to which this instance has read each topic."""
+        """The offset up to which this instance has read each topic.
+
+        Topics that were not read in the latest era are missing.
+        """
         return tuple(
-            (name, topic.offset) for name, topic in self._topics.items()
+            (name, topic.offset)
+            for name, topic in self._topics.items()
+            if topic.era == self._era
         )
 
     def list_current_offsets(
-        self, now: datetime.timedelta
+        self, era: ids.StoreEra, now: datetime.timedelta
     ) -> tuple[tuple[ids.TopicName, int], ...]:
-        """Returns the offsets of topics that this instance has read lately."""
+        """Returns the offsets of topics that were read lately, in an era."""
         return tuple(
             (name, topic.offset)
             for name, topic in self._topics.items()
-            if now - topic.read_at <= MAX_CONFIRMED_AGE
+            if topic.era == era and now - topic.read_at <= MAX_CONFIRMED_AGE
         )
 
     def record_read(
@@ -68,6 +86,7 @@
         offset: int,
         read_interval: datetime.timedelta,
         now: datetime.timedelta,
+        era: ids.StoreEra = ids.UNNAMED_ERA,
     ) -> bool:
         """Records a read of this instance; returns whether it had records.
 
@@ -76,11 +95,16 @@
             offset: Offset after the last record that was read.
             read_interval: Least time between the starts of two reads.
             now: Current time.
+            era: Era of the store.
         """
         topic = self._topics.setdefault(
-            name, _Topic(read_interval, offset, now)
+            name, _Topic(read_interval, offset, now, era)
         )
-        has_records = offset != topic.offset
+        self._era = max(self._era, era)
+        has_records = offset != topic.offset or era != topic.era
+        if era != topic.era:
+            topic.era = era
+            topic.peer_offset = topic.expected_offset = 0
         topic.offset = offset
         topic.read_at = now
         if offset >= topic.expected_offset:
@@ -92,11 +116,21 @@
         self,
         offsets: Mapping[ids.TopicName, int],
         now: datetime.timedelta,
+        era: ids.StoreEra = ids.UNNAMED_ERA,
     ) -> None:
         """Records how far a peer has read; unknown topics are ignored."""
         for name, offset in offsets.items():
             topic = self._topics.get(name)
-            if topic is None or offset <= topic.peer_offset:
+            if topic is None or era < topic.era:
+                continue
+            if era > topic.era:
+                # Whatever this instance reads in its era, it is behind.
+                topic.expected_offset = _NEVER_READ
+                topic.expected_at = min(
+                    topic.expected_at, now + topic.read_interval + MAX_LAG
+                )
+                continue
+            if offset <= topic.peer_offset:
                 continue
             topic.peer_offset = offset
             if topic.expected_at == datetime.timedelta.max:
@@ -106,10 +140,12 @@
         self,
         offsets: Mapping[ids.TopicName, int],
         now: datetime.timedelta,
+        era: ids.StoreEra = ids.UNNAMED_ERA,
     ) -> None:
         """Records how far a peer has read lately."""
         for name in offsets.keys() & self._topics.keys():
-            self._topics[name].confirmed_at = now
+            if self._topics[name].era == era:
+                self._topics[name].confirmed_at = now
 
     def take_poll_changes(
         self, now: datetime.timedelta
--- a/tests/test_core_read_progress.py
+++ b/tests/test_core_read_progress.py
@@ -7,7 +7,9 @@
 import random
 
 import core_samples as samples
+import pytest
 
+from quetzalgauge import ids
 from quetzalgauge.core import election
 from quetzalgauge.core import gateway
 from quetzalgauge.core import node
@@ -178,3 +180,39 @@
             if isinstance(action.message, peer_messages.ZoneUpdate)
         ][-1:]
     assert offsets == [((CONFIG, 7),), ()]
+
+
+def read_in_eras(peer_era, peer_offset):
+    """Returns the progress of an instance whose peer has read in an era."""
+    progress = read_progress.ReadProgress()
+    for era, offset in ((1, 20), (2, 5)):
+        progress.record_read(CONFIG, offset, 0 * SECOND, SECOND, era)
+    progress.record_peer({CONFIG: peer_offset}, SECOND, peer_era)
+    progress.record_confirmation({CONFIG: peer_offset}, SECOND, peer_era)
+    return progress
+
+
+@pytest.mark.parametrize("era", [ids.UNNAMED_ERA, 1])
+def test_offsets_of_an_earlier_era_are_not_compared(era):
+    """Guards against a read that is renewed again and again."""
+    progress = read_in_eras(era, 20)
+    assert progress.take_overdue(SECOND + 2 * MAX_LAG) == []
+    assert progress.take_poll_changes(SECOND) == []
+    assert (progress.era, progress.offsets) == (2, ((CONFIG, 5),))
+
+
+def test_a_read_of_an_earlier_era_is_renewed():
+    """Guards against records that are missed since an offset came again."""
+    progress = read_in_eras(3, 5)
+    assert progress.take_overdue(SECOND + 2 * MAX_LAG) == [CONFIG]
+    progress.record_read(CONFIG, 3, 0 * SECOND, 2 * SECOND, 3)
+    assert progress.take_overdue(30 * SECOND) == []
+
+
+def test_offsets_of_one_era_are_compared():
+    """Guards against a read that stays behind after a restoration."""
+    progress = read_in_eras(2, 6)
+    assert progress.take_overdue(SECOND + 2 * MAX_LAG) == [CONFIG]
+    progress.record_read(REGISTRY, 9, SECOND, SECOND, 3)
+    assert (progress.era, progress.offsets) == (3, ((REGISTRY, 9),))
+    assert progress.list_current_offsets(2, SECOND) == ((CONFIG, 5),)
