Learn the era of the store and begin each topic again in a new one

After a restoration, a consumer reads on from an offset that was given out again and misses the records before it: a version of the configuration, targets, leaders. A long poll may wait on for an offset of the earlier era. Responses of that era may arrive after the first one of the new era and are believed.

Each response of the store names its era. One place checks it for all connections: it rejects responses of an earlier era, or without a valid one once one is known, counts and logs them, and when a new era begins it logs store_restored, counts it, tells the core, and makes all readers begin with the newest records. A store that names no era works as before.

The stand-in of the store can come back from a copy, groups and generations included, and be away before that.

Settings: first_start, which tells a missing record at the first start of the system from one that the store has lost.

--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -222,6 +222,7 @@
         rng: Source of random numbers.
         now: The current time.
         policy: Placement policy of the leader.
+        is_first_start: Whether the whole system has never run before.
     """
 
     def __init__(
@@ -232,6 +233,7 @@
         rng: random.Random,
         now: datetime.timedelta,
         policy: placement.PlacementPolicy = placement.choose_placement,
+        is_first_start: bool = False,
     ) -> None:
         self._placement_policy = policy
         self._identity = identity
@@ -248,6 +250,7 @@
             platform_lease,
             datetime.timedelta(seconds=rng.uniform(0.0, 0.3)),
             now,
+            is_first_start,
         )
         self._leader: leader_module.ZoneLeader | None = None
         self._config: configuration.Configuration | None = None
--- a/src/quetzalgauge/exceptions.py
+++ b/src/quetzalgauge/exceptions.py
@@ -31,6 +31,10 @@
     """The response to a call is malformed or too long."""
 
 
+class OutdatedResponseError(PlatformError):
+    """The response is from before the store came back from a copy."""
+
+
 class LogExpiredError(PlatformError):
     """The log no longer retains the records at the requested offset.
 
--- a/src/quetzalgauge/node/election_client.py
+++ b/src/quetzalgauge/node/election_client.py
@@ -8,6 +8,7 @@
 from quetzalgauge import exceptions
 from quetzalgauge.core import election
 from quetzalgauge.node import event_log
+from quetzalgauge.node import store_era
 from quetzalgauge.platform import election_store
 from quetzalgauge.platform import store
 
@@ -20,6 +21,7 @@
     now: clock.Clock,
     log: event_log.EventLog,
     on_recovery: Callable[[datetime.timedelta], None],
+    check_era: store_era.CheckEra = store_era.accept_all,
 ) -> Callable[[Any], None]:
     """Returns the function that executes an action of the leader election.
 
@@ -30,8 +32,9 @@
         log: Gets a line for each failed call.
         on_recovery: Called when a call succeeds after one that failed, with
             the start of the call that succeeded.
+        check_era: Checks the era that each response of the store names.
     """
-    client = store.StoreClient(address)
+    client = store.StoreClient(address, check_era)
     has_failed = False
 
     def handle(action: election.Action) -> None:
@@ -63,21 +66,25 @@
     match action:
         case election.Join():
             generation, is_owner = election_store.join(client, action)
-            return election.JoinResult(sent_at, generation, is_owner)
+            return election.JoinResult(
+                sent_at, generation, is_owner, era=client.era
+            )
         case election.ReadOwner():
             owner = election_store.read_owner(client, action.availability_zone)
-            return election.ReadOwnerResult(owner)
+            return election.ReadOwnerResult(owner, era=client.era)
         case election.ReadRecord():
             record, next_offset = election_store.read_record(
                 client, action.availability_zone
             )
-            return election.ReadRecordResult(record, next_offset)
+            return election.ReadRecordResult(
+                record, next_offset, era=client.era
+            )
         case election.WriteRecord():
             is_written = election_store.write_record(
                 client, action.record, action.expected_offset
             )
             return election.WriteRecordResult(
-                action.record, conflict=not is_written
+                action.record, conflict=not is_written, era=client.era
             )
         case election.Release():
             election_store.release(client, action.record)
--- a/src/quetzalgauge/node/metrics.py
+++ b/src/quetzalgauge/node/metrics.py
@@ -89,6 +89,17 @@
             ["kind"],
             registry=registry,
         )
+        self._eras_begun = prometheus_client.Counter(
+            "quetzalgauge_store_restorations",
+            "Times that the store has come back from an older copy.",
+            registry=registry,
+        )
+        self._rejected_responses = prometheus_client.Counter(
+            "quetzalgauge_store_responses_rejected",
+            "Responses of the store that name no valid era, or an earlier one.",
+            ["reason"],
+            registry=registry,
+        )
         self._in_progress = prometheus_client.Gauge(
             "quetzalgauge_requests_in_progress",
             "Requests in progress.",
@@ -172,6 +183,14 @@
         """Counts a record that could not be decoded."""
         self._invalid_records.labels(kind).inc()
 
+    def count_era(self) -> None:
+        """Counts that the store has come back from an older copy."""
+        self._eras_begun.inc()
+
+    def count_rejected_response(self, reason: str) -> None:
+        """Counts a response of the store that names no valid era."""
+        self._rejected_responses.labels(reason).inc()
+
     def set_process_gauges(
         self, in_progress: int, waiting: int, dropped_log_lines: int
     ) -> None:
--- a/src/quetzalgauge/node/process.py
+++ b/src/quetzalgauge/node/process.py
@@ -16,6 +16,7 @@
 
 from quetzalgauge import clock
 from quetzalgauge import exceptions
+from quetzalgauge import ids
 from quetzalgauge import logs
 from quetzalgauge.core import caller_limits
 from quetzalgauge.core import configuration
@@ -37,6 +38,7 @@
 from quetzalgauge.node import settings
 from quetzalgauge.node import slow_readers
 from quetzalgauge.node import status_server
+from quetzalgauge.node import store_era
 from quetzalgauge.node import tasks
 from quetzalgauge.node import topic_consumers
 from quetzalgauge.node import upstream
@@ -141,6 +143,7 @@
             config.lease,
             random.Random(),
             self._now(),
+            is_first_start=config.is_first_start,
         )
         self._disconnect_watcher = disconnect_watcher.DisconnectWatcher(
             lambda local_id: self._post_event(
@@ -199,7 +202,10 @@
             self._metrics,
             self._exit_on_task_failure,
         )
-        self._poll_interrupter = topic_consumers.LongPollInterrupter()
+        check_era = store_era.make_era_check(
+            self._begin_era, self._log_rejected_response
+        )
+        self._poll_interrupter = topic_consumers.LongPollInterrupter(check_era)
         self._election_task = tasks.Task(
             "seat",
             election_client.make_election_handler(
@@ -208,6 +214,7 @@
                 self._now,
                 self._log,
                 self._poll_interrupter.interrupt_older,
+                check_era,
             ),
             lambda: None,
             self._exit_on_task_failure,
@@ -313,6 +320,32 @@
                 f"follow-{topic}", run, self._exit_on_task_failure
             )
 
+    def _begin_era(
+        self, previous: ids.StoreEra, era: ids.StoreEra, call: str
+    ) -> None:
+        """Tells all parts that the store has come back from an older copy."""
+        self._metrics.count_era()
+        self._post_event(node.EraBegun(era))
+        topics = self._poll_interrupter.begin_anew()
+        self._log.write(
+            "store_restored",
+            {
+                "era": era,
+                "previous": previous,
+                "learned_by": call,
+                "begins_again": ["seat", *topics],
+            },
+        )
+
+    def _log_rejected_response(
+        self, reason: str, text: str | None, call: str
+    ) -> None:
+        self._metrics.count_rejected_response(reason)
+        self._log.write(
+            "store_response_rejected",
+            {"reason": reason, "era": text and text[:60], "call": call},
+        )
+
     def drain(self) -> None:
         """Starts the graceful shutdown."""
         drain_time = self._settings.stop_time - KILL_MARGIN
--- a/src/quetzalgauge/node/settings.py
+++ b/src/quetzalgauge/node/settings.py
@@ -60,6 +60,7 @@
         apply_time: Time within which a configuration must be in force.
         stop_time: Time from SIGTERM to SIGKILL.
         body_timeout: Time in which the whole body of a request has to arrive.
+        is_first_start: Whether the whole system has never run before.
     """
 
     instance: ids.InstanceId
@@ -79,6 +80,7 @@
     apply_time: datetime.timedelta
     stop_time: datetime.timedelta
     body_timeout: datetime.timedelta = overload.DEFAULT_BODY_TIMEOUT
+    is_first_start: bool = False
 
 
 def load(path: pathlib.Path) -> Settings:
@@ -151,6 +153,7 @@
         reader.get_optional(
             "body_timeout_s", _parse_seconds, overload.DEFAULT_BODY_TIMEOUT
         ),
+        reader.get_optional("first_start", _parse_flag, False),
     )
 
 
@@ -203,6 +206,12 @@
     return value
 
 
+def _parse_flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError("must be true or false")
+    return value
+
+
 def _parse_number(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError("must be a number")
--- a/src/quetzalgauge/node/topic_consumers.py
+++ b/src/quetzalgauge/node/topic_consumers.py
@@ -15,6 +15,7 @@
 from quetzalgauge.core import targets
 from quetzalgauge.node import event_log
 from quetzalgauge.node import metrics
+from quetzalgauge.node import store_era
 from quetzalgauge.platform import config
 from quetzalgauge.platform import election_store
 from quetzalgauge.platform import registry
@@ -57,11 +58,14 @@
         items: The records in log order.
         is_snapshot: Whether they are the latest records of all keys.
         after_outage: Whether reads had failed for more than MIN_OUTAGE_TIME.
+        begins_era: Whether it is the first read since the store came back from
+            an older copy.
     """
 
     items: list[store.KeyedRecord]
     is_snapshot: bool
     after_outage: bool
+    begins_era: bool = False
 
 
 class _TopicReader:
@@ -80,6 +84,7 @@
         self._needs_snapshot = threading.Event()
         self._renewed_offset: int | None = None
         self.offset: int | None = None
+        self.era = ids.UNNAMED_ERA
         self.started_at: datetime.timedelta | None = None
 
     def read(self) -> tuple[list[store.KeyedRecord], bool]:
@@ -89,13 +94,17 @@
             # once, and the offset is kept until there is one.
             self._needs_snapshot.clear()
             items, self.offset = self._client.read_newest(self._topic)
+            self.era = self._client.era
             return items, True
         timeout = LONG_POLL_TIMEOUT
         if self._has_short_polls:
             timeout = self._short_poll_timeout
-        items, self.offset = self._client.read(
-            self._topic, self.offset, timeout
-        )
+        items, offset = self._client.read(self._topic, self.offset, timeout)
+        if self._client.era != self.era:
+            # The offset was given out again, so records may be missing.
+            self.offset = None
+            return self.read()
+        self.offset = offset
         return items, False
 
     def set_polls(self, are_short: bool) -> None:
@@ -136,7 +145,10 @@
     began before that are restarted.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, check_era: store_era.CheckEra = store_era.accept_all
+    ) -> None:
+        self._check_era = check_era
         self._readers: dict[str, _TopicReader] = {}
 
     def make_reader(
@@ -147,7 +159,9 @@
     ) -> _TopicReader:
         """Returns a reader of a topic whose long polls can be interrupted."""
         reader = _TopicReader(
-            topic, store.StoreClient(address), short_poll_timeout
+            topic,
+            store.StoreClient(address, self._check_era),
+            short_poll_timeout,
         )
         self._readers[topic] = reader
         return reader
@@ -158,6 +172,14 @@
             if reader.started_at is not None and reader.started_at < started_at:
                 reader.interrupt()
 
+    def begin_anew(self) -> list[str]:
+        """Makes all readers begin with a snapshot; returns their topics."""
+        readers = dict(self._readers)
+        for reader in readers.values():
+            reader.request_snapshot()
+            reader.interrupt()
+        return list(readers)
+
     def set_polls(self, topic: str, are_short: bool) -> None:
         """Sets whether a topic is read with short polls."""
         reader = self._readers.get(topic)
@@ -198,6 +220,7 @@
     reader = interrupter.make_reader(topic, address, short_poll_timeout)
     failing_since: datetime.timedelta | None = None
     backoff = INITIAL_BACKOFF_SECONDS
+    era: ids.StoreEra | None = None
     while True:
         started_at = reader.started_at = now()
         try:
@@ -233,10 +256,18 @@
             )
             interrupter.interrupt_older(started_at)
         backoff = INITIAL_BACKOFF_SECONDS
-        handle_batch(RecordBatch(items, is_snapshot, outage > MIN_OUTAGE_TIME))
+        begins_era = era is not None and era != reader.era
+        era = reader.era
+        handle_batch(
+            RecordBatch(
+                items, is_snapshot, outage > MIN_OUTAGE_TIME, begins_era
+            )
+        )
         assert reader.offset is not None
         post_event(
-            node.TopicRead(ids.TopicName(topic), reader.offset, min_interval)
+            node.TopicRead(
+                ids.TopicName(topic), reader.offset, min_interval, era
+            )
         )
         # The clock of the process starts at 0.
         is_starting = now() < STARTUP_PERIOD
--- a/src/quetzalgauge/platform/election_store.py
+++ b/src/quetzalgauge/platform/election_store.py
@@ -108,12 +108,15 @@
     value: dict[str, Any] = {
         "machine": record.machine,
         "address": record.address,
-        "token": record.fencing_token,
+        # Instances of older builds compare generations.
+        "token": election.get_generation(record.era, record.fencing_token),
         "active": record.active,
         "released": record.released,
     }
     if record.takeover_delay_left is not None:
         value["wait_left_ms"] = record.takeover_delay_left // _MILLISECOND
+    if record.era != ids.UNNAMED_ERA:
+        value["era"] = record.era
     data = json.dumps(value).encode()
     return client.write(TOPIC, record.availability_zone, data, expected_offset)
 
@@ -153,12 +156,18 @@
             json_fields.get_integer(row, "wait_left_ms"), MAX_TAKEOVER_DELAY_MS
         )
         takeover_delay_left = delay_ms * _MILLISECOND
+    era = ids.UNNAMED_ERA
+    if "era" in row:
+        era = ids.StoreEra(
+            json_fields.get_integer(row, "era", bounds=json_fields.COUNT)
+        )
     return election.LeaderRecord(
         ids.AvailabilityZone(key),
         json_fields.get_string(row, "machine"),
         registry.check_address(json_fields.get_string(row, "address")),
-        json_fields.get_integer(row, "token"),
+        election.make_fencing_token(era, json_fields.get_integer(row, "token")),
         json_fields.get_boolean(row, "active"),
         json_fields.get_boolean(row, "released"),
         takeover_delay_left,
+        era,
     )
--- a/src/quetzalgauge/platform/standin.py
+++ b/src/quetzalgauge/platform/standin.py
@@ -25,6 +25,7 @@
 REPORT_DELAY_SECONDS = 0.1
 HEARTBEAT_INTERVAL_SECONDS = 0.6
 MAX_MISSED_HEARTBEATS = 3
+MAX_COPY_AGE_SECONDS = 30.0
 _POLL_INTERVAL_SECONDS = 0.02
 _LENGTH_PREFIX = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
@@ -33,7 +34,12 @@
 class Store:
     """Stand-in of the store, a log with keyed topics and groups.
 
-    It never loses a record that it has acknowledged.
+    It loses records that it has acknowledged only if it is restored from a
+    copy.
+
+    Attributes:
+        calls: Number of calls so far.
+        era: The era that its responses name, None if they name none.
     """
 
     def __init__(self, threads: int = 48) -> None:
@@ -41,6 +47,9 @@
         self._topics: dict[str, list[tuple[str, bytes]]] = {}
         self._first_offsets: dict[str, int] = {}
         self._groups: dict[str, _Group] = {}
+        self._copies: list[_Copy] = []
+        self._available_at = 0.0
+        self.era: int | None = None
         self.calls = 0
         loopback = settings.Address(host="127.0.0.1", port=0)
         self.server = server.Server(
@@ -52,6 +61,61 @@
         with self._lock:
             self._topics.setdefault(topic, []).append((key, value))
             self._lock.notify_all()
+            self._keep_copy()
+
+    def restore(self, age: float, away: float) -> None:
+        """Comes back from a copy, in another era.
+
+        The records of the operator and the targets that are newer than the copy
+        are written again as soon as it is back.
+
+        Args:
+            age: Age of the copy in seconds.
+            away: Seconds for which the store is away.
+        """
+        now = time.monotonic()
+        with self._lock:
+            self._available_at = now + away
+            written = {
+                topic: self.get_newest(topic)
+                for topic in ("keyed.op", "keyed.servers")
+            }
+            copies = [copy for copy in self._copies if copy.time <= now - age]
+            copy = copies[-1] if copies else _Copy(now, {}, {})
+            self._copies = copies or [copy]
+            for topic, rows in self._topics.items():
+                del rows[copy.lengths.get(topic, 0) :]
+                first_offset = self._first_offsets.get(topic, 0)
+                self._first_offsets[topic] = min(first_offset, len(rows))
+            self._groups = {
+                name: group.copy() for name, group in copy.groups.items()
+            }
+            self.era = (self.era or 0) + 1
+            self._lock.notify_all()
+
+        def write_again() -> None:
+            time.sleep(away)
+            for topic, values in written.items():
+                stored = self.get_newest(topic)
+                for key, value in values.items():
+                    if stored.get(key) != value:
+                        self.put(topic, key, value)
+                for key in stored.keys() - values.keys():
+                    self.put(topic, key, b"")
+
+        threading.Thread(target=write_again, daemon=True).start()
+
+    def _keep_copy(self) -> None:
+        now = time.monotonic()
+        self._copies.append(
+            _Copy(
+                now,
+                {topic: len(rows) for topic, rows in self._topics.items()},
+                {name: group.copy() for name, group in self._groups.items()},
+            )
+        )
+        while self._copies[0].time < now - MAX_COPY_AGE_SECONDS:
+            del self._copies[0]
 
     def get_newest(self, topic: str) -> dict[str, bytes]:
         """Returns the newest value of each key."""
@@ -88,7 +152,16 @@
         }.get(request.path)
         if handler is None:
             return server.make_json_response(404, {})
-        return handler(request)
+        era = self.era
+        if time.monotonic() < self._available_at:
+            server.reset_connection()
+        response = handler(request)
+        if era != self.era:
+            # A long poll is cut off when the store goes away.
+            server.reset_connection()
+        if era is not None:
+            response.headers["Store-Era"] = str(era)
+        return response
 
     def _read(self, request: server.Request) -> server.Response:
         topic = request.query["topic"]
@@ -97,8 +170,10 @@
             time.monotonic() + int(request.query.get("wait_ms", 0)) / 1000
         )
         with self._lock:
+            era = self.era
             first_offset = self._first_offsets.get(topic, 0)
-            if offset < first_offset:
+            end = len(self._topics.get(topic, []))
+            if offset < first_offset or offset > end:
                 return server.make_json_response(410, {"first": first_offset})
             while True:
                 rows = self._topics.get(topic, [])
@@ -106,7 +181,7 @@
                 is_stopping = self.server.stopping.is_set()
                 if len(rows) > offset or time_left <= 0 or is_stopping:
                     break
-                if request.is_disconnected():
+                if request.is_disconnected() or self.era != era:
                     break
                 self._lock.wait(min(time_left, 0.1))
             data = _READ_HEADER.pack(len(rows), first_offset)
@@ -153,6 +228,7 @@
                 key = record[1 : 1 + record[0]].decode()
                 rows.append((key, record[1 + record[0] :]))
             self._lock.notify_all()
+            self._keep_copy()
             return server.make_json_response(
                 200, {"offset": offset, "end": len(rows)}
             )
@@ -162,6 +238,7 @@
         with self._lock:
             group = self._groups.setdefault(row["group"], _Group())
             is_owner = group.join(row["member"], row["ttl_ms"] / 1000)
+            self._keep_copy()
             parts = [[row["topics"][0], 0, 0]] if is_owner else []
             return server.make_json_response(
                 200,
@@ -200,6 +277,15 @@
     return newest
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Copy:
+    """What the store held at a time, on the monotonic clock."""
+
+    time: float
+    lengths: dict[str, int]
+    groups: dict[str, "_Group"]
+
+
 class _Group:
     """Members of a group; the first one owns its only partition."""
 
@@ -217,6 +303,14 @@
             self.owner = member
         return self.owner == member
 
+    def copy(self) -> "_Group":
+        """Returns a group of the same state."""
+        other = _Group()
+        other.generation = self.generation
+        other.owner = self.owner
+        other._expiry_times = dict(self._expiry_times)
+        return other
+
     def leave(self, member: str) -> None:
         if self._expiry_times.pop(member, None) is not None:
             self.generation += 1
--- a/src/quetzalgauge/platform/store.py
+++ b/src/quetzalgauge/platform/store.py
@@ -9,8 +9,10 @@
 
 from quetzalgauge import decoding
 from quetzalgauge import exceptions
+from quetzalgauge import ids
 from quetzalgauge import json_fields
 from quetzalgauge.node import http_client
+from quetzalgauge.node import store_era
 
 # Connecting takes one round trip, also if the store is slow to respond. After a
 # partition, a new attempt succeeds sooner than one whose packet was lost.
@@ -25,6 +27,8 @@
 _LENGTH_PREFIX = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
 _REQUEST_HEADERS = {"Accept-Encoding": "identity"}
+# Rises each time the store comes back from a copy.
+_ERA_HEADER = "store-era"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,12 +60,30 @@
 
 
 class StoreClient:
-    """One connection to the store, used by one task only."""
+    """One connection to the store, used by one task only.
 
-    def __init__(self, address: str) -> None:
+    Each call may raise `exceptions.OutdatedResponseError`, a `PlatformError`.
+
+    Args:
+        address: IP-ADDRESS:PORT of the store.
+        check_era: Checks the era that each response names.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        check_era: store_era.CheckEra = store_era.accept_all,
+    ) -> None:
         self._connection = http_client.Connection(
             f"http://{address}", CONNECT_TIMEOUT
         )
+        self._check_era = check_era
+        self._era = ids.UNNAMED_ERA
+
+    @property
+    def era(self) -> ids.StoreEra:
+        """Era of the store in the last response."""
+        return self._era
 
     def close(self) -> None:
         """Closes the connection; the next call opens a new one."""
@@ -85,7 +107,12 @@
             query = {"topic": topic, "part": PARTITION}
             if last_key:
                 query["after"] = last_key
+            previous_era = self._era
             page = self._get_json("/log-newest", query)
+            if last_key and self._era != previous_era:
+                raise exceptions.OutdatedResponseError(
+                    f"another era began between two pages of {topic}"
+                )
             # The pages together are not one snapshot. Reading from the end
             # offset of the first page returns all changes made since then.
             if offset is None:
@@ -131,12 +158,8 @@
                 "wait_ms": wait_ms,
             }
         )
-        response = self._connection.call(
-            "GET",
-            f"/log-read?{query}",
-            wait + LONG_POLL_MARGIN,
-            None,
-            _REQUEST_HEADERS,
+        response = self._call(
+            "GET", f"/log-read?{query}", None, wait + LONG_POLL_MARGIN
         )
         if response.status == 410:
             row = _parse_json(response.data)
@@ -177,13 +200,8 @@
         if expected_offset is not None:
             parameters["at"] = expected_offset
         query = urllib.parse.urlencode(parameters)
-        response = self._connection.call(
-            "POST",
-            f"/log-append?{query}",
-            CALL_TIMEOUT,
-            _LENGTH_PREFIX.pack(len(record)) + record,
-            _REQUEST_HEADERS,
-        )
+        data = _LENGTH_PREFIX.pack(len(record)) + record
+        response = self._call("POST", f"/log-append?{query}", data)
         if response.status == 412:
             return False
         _check_status(response, 200)
@@ -228,9 +246,7 @@
             exceptions.PlatformError: The call failed.
         """
         body = {"group": group, "member": member}
-        response = self._connection.call(
-            "POST", "/log-leave", CALL_TIMEOUT, body, _REQUEST_HEADERS
-        )
+        response = self._call("POST", "/log-leave", body)
         _check_status(response, 200)
 
     def read_owner(self, group: str, topic: str) -> str | None:
@@ -243,21 +259,34 @@
         row = self._get_json("/log-owners", {"group": group})
         return _decode_owner(row, topic)
 
-    def _get_json(self, path: str, query: dict[str, Any]) -> dict[str, Any]:
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout: datetime.timedelta = CALL_TIMEOUT,
+    ) -> http_client.Response:
         response = self._connection.call(
-            "GET",
-            f"{path}?{urllib.parse.urlencode(query)}",
-            CALL_TIMEOUT,
+            method, path, timeout, body, _REQUEST_HEADERS
+        )
+        text = next(
+            (
+                value.strip()
+                for name, value in response.headers
+                if name.lower() == _ERA_HEADER
+            ),
             None,
-            _REQUEST_HEADERS,
         )
+        self._era = self._check_era(text, f"{method} {path.partition('?')[0]}")
+        return response
+
+    def _get_json(self, path: str, query: dict[str, Any]) -> dict[str, Any]:
+        response = self._call("GET", f"{path}?{urllib.parse.urlencode(query)}")
         _check_status(response, 200)
         return _parse_json(response.data)
 
     def _post_json(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
-        response = self._connection.call(
-            "POST", path, CALL_TIMEOUT, body, _REQUEST_HEADERS
-        )
+        response = self._call("POST", path, body)
         _check_status(response, 200)
         return _parse_json(response.data)
 
--- a/src/quetzalgauge/standins/server.py
+++ b/src/quetzalgauge/standins/server.py
@@ -257,7 +257,7 @@
         while time.monotonic() < deadline and not request.is_disconnected():
             if self._stopping.wait(_POLL_INTERVAL_SECONDS):
                 break
-        _reset_connection()
+        reset_connection()
 
 
 def _add_request_id(response: Response, request: Request) -> Response:
@@ -274,8 +274,12 @@
     return request.path.startswith(faults.path_prefix)
 
 
-def _reset_connection() -> None:
-    # On this error the server closes the connection without a response.
+def reset_connection() -> None:
+    """Closes the connection without a response.
+
+    Raises:
+        ConnectionResetError: Always; the server handles it.
+    """
     raise ConnectionResetError(
         errno.ECONNRESET, "connection reset by an injected fault"
     )
@@ -283,7 +287,7 @@
 
 def _discard_response(response: Response) -> None:
     _close_body(response.body)
-    _reset_connection()
+    reset_connection()
 
 
 def _close_body(body: Iterable[bytes]) -> None:
@@ -297,7 +301,7 @@
         if len(chunk) > remaining:
             if remaining:
                 yield chunk[:remaining]
-            _reset_connection()
+            reset_connection()
         remaining -= len(chunk)
         yield chunk
 
