Keep what was learned of targets when the registry shows an older state

After a restoration the registry is that of some seconds ago. A target that has left is there again and gets requests; one that was leaving counts as ready; one that came lately is missing and is dropped although it serves.

The directory remembers which targets have left, with the number of their last entry, and that they were leaving, also from entries. An entry with a lower number than the last one of the same start is ignored at any time, unless it says that the target leaves.

--- a/src/quetzalgauge/core/targets.py
+++ b/src/quetzalgauge/core/targets.py
@@ -23,6 +23,10 @@
 # Targets that have announced their end, whether they are still registered or
 # not. The oldest announcements are dropped.
 MAX_ANNOUNCEMENTS = 4096
+# After the registry has come back from an older copy, a snapshot may have
+# entries of targets that have left, and lack others, for this time: until live
+# targets have written again and the entries of the others have expired.
+RESTORATION_PERIOD = datetime.timedelta(seconds=5)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +62,8 @@
         models: Loaded models.
         copies: Cached copies of weights.
         sequence_number: Number of orders accepted since its start.
+        entry_number: Number of the entry, which rises with each that the
+            incarnation writes.
     """
 
     target: ids.TargetId
@@ -71,6 +77,7 @@
     models: tuple[LoadedModel, ...] = ()
     copies: CachedCopies = CachedCopies()
     sequence_number: int = 0
+    entry_number: int = dataclasses.field(default=0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +92,8 @@
         after_outage: Whether the reads before this one failed for a while.
         unreadable: Keys of entries that cannot be decoded, for instance
             because another program wrote them. They change nothing.
+        is_restored: Whether the registry has come back from an older copy since
+            the read before.
     """
 
     entries: tuple[Description, ...]
@@ -92,6 +101,7 @@
     complete: bool = False
     after_outage: bool = False
     unreadable: tuple[ids.TargetId, ...] = ()
+    is_restored: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,12 +130,19 @@
     After a registry outage, targets whose entries may have expired stay in the
     directory for a grace period. If only this instance was cut off, the entries
     of most other targets have not changed, and a missing target has left.
+
+    The registry may come back from an older copy of itself. What was learned
+    since that copy is kept: which targets have left, announced their end or
+    started again. Targets that the copy lacks stay for a grace period.
     """
 
     def __init__(self) -> None:
         self._entries: dict[ids.TargetId, _DirectoryEntry] = {}
         self._by_service: dict[ids.ServiceName, list[Description]] = {}
         self._leaving: dict[ids.TargetId, int] = {}
+        # Incarnation and number of the last entry of targets that have left.
+        self._gone: dict[ids.TargetId, tuple[int, int]] = {}
+        self._restored_until = datetime.timedelta.min
         self._is_complete = False
         self._revision = 0
 
@@ -189,9 +206,13 @@
     ) -> list[log_events.LogEvent]:
         """Applies a read of the registry; returns the changes for the log."""
         events: list[log_events.LogEvent] = []
-        expired_zones = self._find_expired_zones(change)
+        if change.is_restored:
+            self._restored_until = now + RESTORATION_PERIOD
+        is_restored = now < self._restored_until
+        expired_zones = self._find_expired_zones(change, is_restored)
         for entry in change.entries:
-            events += self._apply_entry(entry, now)
+            if not (is_restored and change.complete and self._is_known(entry)):
+                events += self._apply_entry(entry, now)
         removed = set(change.removed)
         if change.complete:
             self._is_complete = True
@@ -216,9 +237,7 @@
         """
         if self._leaving.get(event.target, -1) >= event.incarnation:
             return []
-        self._leaving[event.target] = event.incarnation
-        if len(self._leaving) > MAX_ANNOUNCEMENTS:
-            del self._leaving[next(iter(self._leaving))]
+        self._remember_leaving(event.target, event.incarnation)
         entry = self._entries.get(event.target)
         if (
             entry is None
@@ -232,6 +251,19 @@
         self._rebuild_index()
         return [_make_log_event("target_leaving", entry.description)]
 
+    def _remember_leaving(self, target: ids.TargetId, incarnation: int) -> None:
+        self._leaving[target] = incarnation
+        if len(self._leaving) > MAX_ANNOUNCEMENTS:
+            del self._leaving[next(iter(self._leaving))]
+
+    def _forget(self, target: ids.TargetId) -> None:
+        """Drops a target that has left."""
+        last = self._entries.pop(target).description
+        self._gone.pop(target, None)
+        self._gone[target] = last.incarnation, last.entry_number
+        if len(self._gone) > MAX_ANNOUNCEMENTS:
+            del self._gone[next(iter(self._gone))]
+
     def expire(self, now: datetime.timedelta) -> list[log_events.LogEvent]:
         """Drops targets that did not register again in the grace period."""
         events = [
@@ -242,22 +274,36 @@
             if entry.grace_ends_at is not None and now >= entry.grace_ends_at
         ]
         for event in events:
-            del self._entries[event.fields["target"]]
+            self._forget(event.fields["target"])
         if events:
             self._rebuild_index()
         return events
 
+    def _is_known(self, entry: Description) -> bool:
+        """Whether something newer than an entry was learned of its target."""
+        current = self._entries.get(entry.target)
+        if current is not None:
+            known = current.description
+            last = known.incarnation, known.entry_number
+        elif entry.target in self._gone:
+            last = self._gone[entry.target]
+        else:
+            return False
+        if entry.is_draining and current is not None:
+            return False
+        return (entry.incarnation, entry.entry_number) <= last
+
     def _find_expired_zones(
-        self, change: RegistryUpdated
+        self, change: RegistryUpdated, is_restored: bool
     ) -> set[ids.AvailabilityZone]:
         """Returns the zones whose removed entries may have expired."""
-        if not change.after_outage:
+        if not (change.after_outage or is_restored):
             return set()
         zones = {
             entry.description.availability_zone
             for entry in self._entries.values()
         }
-        if change.complete:
+        if change.complete or is_restored:
             # Does not show which entries were removed and written again.
             return zones
         changed = {entry.target for entry in change.entries}
@@ -284,13 +330,22 @@
         current = self._entries.get(entry.target)
         if self._leaving.get(entry.target) == entry.incarnation:
             entry = dataclasses.replace(entry, is_draining=True)
+        elif entry.is_draining:
+            self._remember_leaving(entry.target, entry.incarnation)
         if current is None:
+            self._gone.pop(entry.target, None)
             self._entries[entry.target] = _DirectoryEntry(entry, now)
             return [_make_log_event("target_found", entry)]
         previous = current.description
         if entry.incarnation < previous.incarnation:
             # A delayed heartbeat from before the restart of the target.
             return []
+        if (
+            entry.incarnation == previous.incarnation
+            and entry.entry_number < previous.entry_number
+            and not entry.is_draining
+        ):
+            return []
         current.description = entry
         current.read_at = now
         current.grace_ends_at = None
@@ -316,7 +371,7 @@
                 entry.grace_ends_at = now + REREGISTRATION_GRACE
                 return [_make_log_event("target_lapsed", entry.description)]
             return []
-        del self._entries[target]
+        self._forget(target)
         return [_make_log_event("target_gone", entry.description)]
 
     def _rebuild_index(self) -> None:
--- a/src/quetzalgauge/node/topic_consumers.py
+++ b/src/quetzalgauge/node/topic_consumers.py
@@ -361,6 +361,7 @@
                 batch.is_snapshot,
                 batch.after_outage,
                 tuple(unreadable),
+                batch.begins_era,
             )
         )
 
--- a/src/quetzalgauge/platform/registry.py
+++ b/src/quetzalgauge/platform/registry.py
@@ -47,9 +47,8 @@
     terminates_in = None
     if row.get("remaining_ms") is not None:
         terminates_in = json_fields.get_milliseconds(row, "remaining_ms")
-    # These values are not used here; the checks reject entries of another
-    # format.
-    json_fields.get_integer(row, "seq")
+    entry_number = json_fields.get_integer(row, "seq")
+    # Not used here; the check rejects entries of another format.
     json_fields.get_number(row, "cold_left_ms", 0, json_fields.DURATION_MS)
     return targets.Description(
         ids.TargetId(key),
@@ -62,6 +61,7 @@
         terminates_in,
         decode_models(row),
         decode_cached_copies(row),
+        entry_number=entry_number,
     )
 
 
