Tell a report of a restarted target from one of its start before

A target restarts under its id while an order to load a model has no response. Until the registry shows the restart, up to 2 s, the leader takes the reports of the new start for those of the old one, finds the target empty, and orders other models.

Cause: a report names its start, but that was not read.

A report of another start than the one that was polled changes nothing in the state of that one. If it is a later one, the directory counts the target as restarted at once, so the leader begins anew and keeps memory for the order.

--- a/src/quetzalgauge/core/node.py
+++ b/src/quetzalgauge/core/node.py
@@ -431,10 +431,19 @@
         if isinstance(event, orders.OrderResult):
             self._leader.apply_order_result(event, now)
             return self._run_leader(now)
-        self._leader.apply_status(event, now)
+        status = event.status
         changes: list[log_events.LogEvent] = []
-        if event.status is not None and event.status.is_leaving:
-            changes = self._fleet.directory.record_leaving(
+        if status is not None and status.incarnation is not None:
+            changes += self._fleet.directory.record_restart(
+                event.target,
+                status.incarnation,
+                status.models,
+                status.copies,
+                now,
+            )
+        self._leader.apply_status(event, now)
+        if status is not None and status.is_leaving:
+            changes += self._fleet.directory.record_leaving(
                 targets.LeavingAnnounced(event.target, event.incarnation)
             )
         return self._apply_target_changes(changes, now) or self._run_leader(now)
--- a/src/quetzalgauge/core/orders.py
+++ b/src/quetzalgauge/core/orders.py
@@ -76,6 +76,7 @@
         running_count: Number of requests in progress.
         queued_count: Number of requests queued at the target.
         is_leaving: Whether the target states that it will terminate.
+        incarnation: Incarnation of the target, None if it does not tell.
     """
 
     sequence_number: int
@@ -86,6 +87,7 @@
     running_count: int
     queued_count: int
     is_leaving: bool = False
+    incarnation: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/quetzalgauge/core/targets.py
+++ b/src/quetzalgauge/core/targets.py
@@ -251,6 +251,44 @@
         self._rebuild_index()
         return [_make_log_event("target_leaving", entry.description)]
 
+    def record_restart(
+        self,
+        target: ids.TargetId,
+        incarnation: int,
+        models: tuple[LoadedModel, ...],
+        copies: CachedCopies,
+        now: datetime.timedelta,
+    ) -> list[log_events.LogEvent]:
+        """Records that a target tells of a later start than its entry.
+
+        Its entry follows with the target's next heartbeat.
+
+        Args:
+            target: The target.
+            incarnation: Its incarnation.
+            models: Models that it has loaded.
+            copies: Models whose weights it caches.
+            now: The current time.
+
+        Returns:
+            The changes for the log.
+        """
+        entry = self._entries.get(target)
+        if entry is None or incarnation <= entry.description.incarnation:
+            return []
+        restarted = dataclasses.replace(
+            entry.description,
+            incarnation=incarnation,
+            is_draining=False,
+            terminates_in=None,
+            models=models,
+            copies=copies,
+            entry_number=0,
+        )
+        events = list(self._apply_entry(restarted, now))
+        self._rebuild_index()
+        return events
+
     def _remember_leaving(self, target: ids.TargetId, incarnation: int) -> None:
         self._leaving[target] = incarnation
         if len(self._leaving) > MAX_ANNOUNCEMENTS:
--- a/src/quetzalgauge/core/zone_leader.py
+++ b/src/quetzalgauge/core/zone_leader.py
@@ -311,6 +311,14 @@
         state = self._find_state(event.target, event.incarnation)
         if state is None:
             return
+        status = event.status
+        if (
+            status is not None
+            and status.incarnation is not None
+            and status.incarnation != event.incarnation
+        ):
+            # The report tells nothing of the incarnation that was polled.
+            event = dataclasses.replace(event, status=None)
         resend = state.apply_status(event, now)
         if resend is not None:
             self._resends[event.target] = resend
--- a/src/quetzalgauge/platform/engine.py
+++ b/src/quetzalgauge/platform/engine.py
@@ -105,6 +105,11 @@
         loading_adapters.append(
             (ids.ModelName(model), ids.AdapterName(adapter))
         )
+    incarnation = None
+    if "born" in row:
+        incarnation = json_fields.get_integer(
+            row, "born", bounds=json_fields.TIMESTAMP_MS
+        )
     return orders.Status(
         json_fields.get_integer(row, "seq", bounds=json_fields.COUNT),
         json_fields.get_boolean(row, "busy"),
@@ -113,6 +118,7 @@
         registry.decode_cached_copies(row),
         json_fields.get_integer(row, "running", 0, json_fields.COUNT),
         json_fields.get_integer(row, "queued", 0, json_fields.COUNT),
+        incarnation=incarnation,
     )
 
 
--- a/tests/test_core_restored_registry.py
+++ b/tests/test_core_restored_registry.py
@@ -133,3 +133,22 @@
         registry.read(removed=(f"t{number}",))
     directory = registry.directory
     assert len(directory._gone) == len(directory._leaving) == 3
+
+
+@pytest.mark.parametrize("incarnation", [1, 2])
+def test_a_target_that_tells_of_a_later_start_has_restarted(incarnation):
+    """Guards against an entry of before the restart that counts for seconds."""
+    registry = Registry(make_entry("t1", 4, models=["m1"], is_draining=True))
+    events = registry.directory.record_restart(
+        "t1", incarnation, (), targets.CachedCopies((), ("m1",)), NOW
+    )
+    has_restarted = incarnation > 1
+    assert [event.name for event in events] == (
+        ["target_restarted"] if has_restarted else []
+    )
+    registry.read(make_entry("t1", 9, models=["m1"]), after=1.0)
+    (entry,) = registry.directory
+    assert entry.incarnation == incarnation
+    assert (entry.models == ()) == has_restarted
+    assert entry.is_draining == (not has_restarted)
+    assert registry.directory.record_restart("t9", 1, (), (), NOW) == []
--- a/tests/test_core_zone_leader.py
+++ b/tests/test_core_zone_leader.py
@@ -606,3 +606,24 @@
             orders.StatusResult("e1", 1, status, harness.now), harness.now
         )
     assert harness.reconcile() == [order]
+
+
+@pytest.mark.parametrize("incarnation", [0, 2])
+def test_a_report_of_another_incarnation_frees_no_memory(incarnation):
+    """Guards against an order to a target whose restart is not registered.
+
+    The load from before the restart may still be carried out.
+    """
+    harness = LeaderHarness({"e1": ["m0", "m1", "m2"]})
+    harness.send_report(["m5"])
+    (unload,) = harness.reconcile()
+    harness.send_order_result(unload)
+    (load,) = harness.advance(0.1)
+    harness.send_order_result(load, orders.Outcome.NO_RESPONSE)
+    harness.advance(0.5)
+    status = samples.make_status(sequence_number=0, disk=MODEL_NAMES)
+    status = dataclasses.replace(status, incarnation=incarnation)
+    harness.leader.apply_status(
+        orders.StatusResult("e1", 1, status, harness.now), harness.now
+    )
+    assert harness.advance(0.5) == []
