Test versions and requests in progress with a store that is restored

The random test of the core lets the store come back from copies, with and without the records of leaders.

--- a/tests/core_cluster.py
+++ b/tests/core_cluster.py
@@ -1,10 +1,12 @@
 """Nodes of the core with emulated targets, callers and a clock."""
 
 import collections
+import dataclasses
 import random
 
 import core_samples as samples
 
+from quetzalgauge import ids
 from quetzalgauge.core import election
 from quetzalgauge.core import gateway
 from quetzalgauge.core import node as node_module
@@ -201,6 +203,7 @@
         self.order_mode = "answered"
         self.reports_fail = False
         self.late_orders = []
+        self.era = ids.UNNAMED_ERA
         self._attempts = {}
         self._request_count = 0
         self._links = {}
@@ -408,7 +411,21 @@
         event = node_module.MessageReceived(link, action.message)
         self._post_later(receiver, 0.001, event)
 
+    def restore_store(self, told, loses_records):
+        """Lets the store come back from a copy; tells some nodes of it."""
+        self.era = ids.StoreEra(max(0, self.era) + 1)
+        if loses_records:
+            self._records.clear()
+        for zone in told:
+            self.post(zone, node_module.EraBegun(self.era))
+
     def _call_store(self, zone, action):
+        result = self._make_result(zone, action)
+        if isinstance(result, election.LeaveResult):
+            return result
+        return dataclasses.replace(result, era=self.era)
+
+    def _make_result(self, zone, action):
         match action:
             case election.Join():
                 return election.JoinResult(self.loop.now, 1, True)
--- a/tests/test_core_versions.py
+++ b/tests/test_core_versions.py
@@ -45,9 +45,9 @@
 
     Versions withdraw models, change them and list them again, at each node at
     another time. Orders are rejected, late or without a response, targets
-    restart and leave. No event may raise an exception, each request ends once,
-    no order exceeds the memory of a target, and a listed model is served in the
-    end.
+    restart and leave, and the store comes back from copies. No event may raise
+    an exception, each request ends once, no order exceeds the memory of a
+    target, and a listed model is served in the end.
     """
 
     def __init__(self):
@@ -135,6 +135,13 @@
             self.cluster.run(0.3)
         self.cluster.register([engine])
 
+    @stateful.rule(
+        told=strategies.sets(strategies.sampled_from(ZONES)),
+        loses_records=strategies.booleans(),
+    )
+    def restore_store(self, told, loses_records):
+        self.cluster.restore_store(sorted(told), loses_records)
+
     @stateful.rule(seconds=strategies.sampled_from([0.01, 0.1, 0.5, 2.0, 6.0]))
     def advance(self, seconds):
         self.cluster.run(seconds)
@@ -168,3 +175,41 @@
     phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
     report_multiple_bugs=False,
 )
+
+
+def make_cluster(version):
+    cluster = core_cluster.Cluster(
+        ZONES, 2, make_version(version, make_models())
+    )
+    cluster.run(2.0)
+    return cluster
+
+
+def test_no_instance_goes_back_to_a_lower_version():
+    """Guards against routes of before, which the store may show again.
+
+    An instance that starts then takes what it finds, and the newer version as
+    soon as that is written again.
+    """
+    cluster = make_cluster(5)
+    cluster.restore_store(ZONES, True)
+    zone = ZONES[0]
+    cluster.configure(zone, make_version(3, make_models()[:1]))
+    assert cluster.nodes[zone].config.version == 5
+    cluster.start_node(zone)
+    for version in (3, 5):
+        cluster.configure(zone, make_version(version, make_models()))
+        assert cluster.nodes[zone].config.version == version
+
+
+def test_requests_go_on_through_a_restoration():
+    """Guards against requests that end since the store lost some seconds."""
+    cluster = make_cluster(1)
+    keys = [cluster.submit(ZONES[0], "/rare/1", "m0", None) for _ in range(3)]
+    cluster.run(1.0)
+    cluster.restore_store(ZONES, True)
+    cluster.run(1.0)
+    assert set(cluster.list_attempts()) == set(keys)
+    for key in keys:
+        cluster.end_attempt(key)
+    assert [cluster.ends[key] for key in keys] == [1, 1, 1]
