--- a/src/quetzalgauge/core/election.py
+++ b/src/quetzalgauge/core/election.py
@@ -267,6 +267,26 @@
 )
 
 
+def make_failure(action: Action, sent_at: datetime.timedelta) -> Event:
+    """Returns the result of a call that got no response.
+
+    Args:
+        action: The call.
+        sent_at: When it was sent.
+    """
+    match action:
+        case Join():
+            return JoinResult(sent_at, 0, False, failed=True)
+        case ReadOwner():
+            return ReadOwnerResult(None, failed=True)
+        case ReadRecord():
+            return ReadRecordResult(None, failed=True)
+        case WriteRecord():
+            return WriteRecordResult(action.record, failed=True)
+    # Release and Leave both end in a LeaveResult.
+    return LeaveResult()
+
+
 class LeaderElection:
     """This instance's participation in the leader election of its zone.
 
--- a/src/quetzalgauge/emulation/election_store.py
+++ b/src/quetzalgauge/emulation/election_store.py
@@ -73,7 +73,7 @@
     def execute(self, action: election.Action) -> election.Event:
         """Returns the result of a call."""
         if self._loop.now_s < self._available_at_s:
-            return self._fail(action)
+            return election.make_failure(action, self._loop.now)
         event = self._execute(action)
         self._copies.append((self._loop.now_s, self._content.copy()))
         if isinstance(event, election.LeaveResult):
@@ -109,20 +109,6 @@
                 return election.WriteRecordResult(action.record)
         return election.LeaveResult()
 
-    def _fail(self, action: election.Action) -> election.Event:
-        match action:
-            case election.Join():
-                return election.JoinResult(
-                    self._loop.now, 0, False, failed=True
-                )
-            case election.ReadOwner():
-                return election.ReadOwnerResult(None, failed=True)
-            case election.ReadRecord():
-                return election.ReadRecordResult(None, failed=True)
-            case election.WriteRecord():
-                return election.WriteRecordResult(action.record, failed=True)
-        return election.LeaveResult()
-
 
 class LeaseMonitor:
     """Finds orders to a target that come from two instances too soon.
--- a/src/quetzalgauge/node/election_client.py
+++ b/src/quetzalgauge/node/election_client.py
@@ -48,7 +48,7 @@
                 "seat_call_failed",
                 {"call": type(action).__name__, "error": str(error)},
             )
-            event = _make_failure(action, sent_at)
+            event = election.make_failure(action, sent_at)
             has_failed = True
         else:
             if has_failed:
@@ -92,16 +92,3 @@
             election_store.leave(client, action)
     # Release and Leave both end in a LeaveResult.
     return election.LeaveResult()
-
-
-def _make_failure(action: election.Action, sent_at: Any) -> election.Event:
-    match action:
-        case election.Join():
-            return election.JoinResult(sent_at, 0, False, failed=True)
-        case election.ReadOwner():
-            return election.ReadOwnerResult(None, failed=True)
-        case election.ReadRecord():
-            return election.ReadRecordResult(None, failed=True)
-        case election.WriteRecord():
-            return election.WriteRecordResult(action.record, failed=True)
-    return election.LeaveResult()
--- a/tests/test_core_election.py
+++ b/tests/test_core_election.py
@@ -119,19 +119,6 @@
                 return election.LeaveResult()
 
 
-def make_failure(action, now):
-    match action:
-        case election.Join():
-            return election.JoinResult(now, 0, False, failed=True)
-        case election.ReadOwner():
-            return election.ReadOwnerResult(None, failed=True)
-        case election.ReadRecord():
-            return election.ReadRecordResult(None, failed=True)
-        case election.WriteRecord():
-            return election.WriteRecordResult(action.record, failed=True)
-    return election.LeaveResult()
-
-
 class Member:
     """A group member: one instance's election and its calls to the store."""
 
@@ -161,7 +148,7 @@
             return
         action, sent_at = self.pending_call
         self.pending_call = None
-        event = make_failure(action, sent_at)
+        event = election.make_failure(action, sent_at)
         if not request_failed:
             result = store.execute(action, now)
             if not response_lost:
--- a/tests/test_core_election_eras.py
+++ b/tests/test_core_election_eras.py
@@ -211,7 +211,7 @@
             return
         action, sent_at = member.pending_call
         member.pending_call = None
-        event = test_core_election.make_failure(action, sent_at)
+        event = election.make_failure(action, sent_at)
         if not options.get("request_failed"):
             result = self.store.execute(action, self.now)
             if isinstance(result, election.JoinResult):
