--- a/src/quetzalgauge/core/election.py
+++ b/src/quetzalgauge/core/election.py
@@ -26,11 +26,11 @@
 
 - A record of another era proves nothing, nor does a missing one: any machine
   may have been active last, so the new leader waits for the whole delay.
-- A leader that is active when it learns of the era stays so within its lease,
-  but the lease is only extended once it owns the partition in the new era and
-  has written an active record there, both before the lease has expired. Any
-  other owner of that era has to wait for longer than that lease, and finds that
-  record before its first order.
+- A leader that is active when it learns of the era stays so within its lease.
+  The lease is extended once it owns the partition in the new era and has
+  written an active record there, if it had not expired when the record before
+  was read. Any other owner of that era has to wait for longer than that lease,
+  and finds that record before its first order.
 - A call whose result belongs to another era than the read that it relies on
   counts as failed.
 """
