Test a process with odd eras of the store

An era that is text, negative, huge, empty, lower, missing or that jumps ends no process; the next sound one is followed.

--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -4,6 +4,7 @@
 import threading
 
 import core_samples as samples
+import faulty_site
 import pytest
 import stubs
 import test_topic_consumers
@@ -16,6 +17,7 @@
 from quetzalgauge.node import topic_consumers
 from quetzalgauge.platform import standin
 from quetzalgauge.platform import store
+from quetzalgauge.standins import local_cluster
 
 TOPIC = "keyed.op"
 
@@ -208,3 +210,36 @@
         )
         assert write(client, record, None)
         assert read(client, samples.ZONE)[0] == record
+
+
+@pytest.mark.process
+def test_odd_eras_end_no_process(tmp_path):
+    """Guards against an instance that ends, or follows the store no more."""
+    site = standin.Site(["zone-a"], {"m0": standin.ModelSpec()})
+    site.store.era = 1
+    site.start()
+    cluster = local_cluster.LocalCluster(
+        tmp_path, str(site.store.server.address), ["zone-a"]
+    )
+    (instance,) = cluster.instances
+
+    def count(event):
+        return instance.log_path.read_text().count(event)
+
+    try:
+        cluster.start_all()
+        odd_eras = ["x", "-5", "9" * 400, "", "0", None, 10**8]
+        for era, odd in enumerate(odd_eras, 2):
+            rejected = count("store_response_rejected")
+            site.store.era = odd
+            faulty_site.wait_for(
+                lambda n=rejected: count("store_response_rejected") > n
+            )
+            site.store.era = era
+            faulty_site.wait_for(lambda n=era: count("store_restored") == n - 1)
+        site.write_configuration(standin.make_configuration(site.models, 7))
+        faulty_site.wait_for(lambda: count('"version": 7'))
+        assert instance.process.poll() is None
+    finally:
+        cluster.kill_all()
+        site.stop()
