--- a/tests/test_pausing_soak.py
+++ b/tests/test_pausing_soak.py
@@ -462,8 +462,8 @@
         cluster = local_cluster.LocalCluster(
             tmp_path, str(site.store.server.address), [*ZONES, ZONES[0]]
         )
-        cluster.start_all()
         try:
+            cluster.start_all()
             yield Soak(request.param, site, cluster, arrivals)
         finally:
             cluster.kill_all()
