Interrupt takeovers beside restorations in the test of the election

The state machine did not find an election that extends the lease of a leader as soon as it has joined in a new era, before its record is written there (only a unit test did). What it takes is rare at random: another member owns the partition of the new era first, the last leader joins between its two sessions and loses its write, and the other one goes on with the rest of its delay.

Half of the examples now begin so; there are twice as many.

--- a/tests/test_core_election_eras.py
+++ b/tests/test_core_election_eras.py
@@ -183,6 +183,8 @@
     """
 
     RATES = (1.0, 0.991, 1.009)
+    # Without a call for this time, a member's session has ended.
+    LAPSE_MS = 1600
 
     def __init__(self):
         super().__init__()
@@ -241,6 +243,13 @@
                 assert order[2] > self.last_order[2]
             self.last_order = order
 
+    def _call_without_writes(self, which):
+        self.members[which].send_call(self.clock(which))
+        call = self.members[which].pending_call
+        is_write = call and isinstance(call[0], election.WriteRecord)
+        self._call(which, request_failed=bool(is_write))
+        self._send_orders()
+
     def _step(self, which):
         self.now += STEP
         for index in which:
@@ -252,14 +261,34 @@
         age=strategies.floats(0.5, 10.0),
         first=strategies.sets(strategies.integers(0, 2), min_size=1),
         steps=strategies.integers(0, 140),
+        interrupted_after=strategies.none() | strategies.integers(35, 90),
     )
-    def restore_beside_a_takeover(self, without_first, age, first, steps):
-        """Has one member take over before a restoration, others after it."""
+    def restore_beside_a_takeover(
+        self, without_first, age, first, steps, interrupted_after
+    ):
+        """Has one member take over before a restoration, others after it.
+
+        Or has the takeover after it interrupted by the leader of before.
+        """
         self.run(200, {0})
-        self.run(without_first, {1, 2})
+        if interrupted_after is None:
+            self.run(without_first, {1, 2})
         self.restore(age, 0.0)
+        if interrupted_after is not None:
+            self.interrupt_takeover(interrupted_after)
         self.run(steps, first)
 
+    def interrupt_takeover(self, after):
+        """Has a takeover go on after another member owned the partition.
+
+        That one could not write its record.
+        """
+        self.run(after, {1})
+        self.pause(self.LAPSE_MS)
+        self._call_without_writes(0)
+        self.pause(self.LAPSE_MS)
+        self.run(200, {1})
+
     @stateful.rule(
         steps=strategies.integers(1, 80),
         which=strategies.sets(strategies.integers(0, 2), min_size=1),
@@ -275,11 +304,7 @@
         """Lets all but one member run, and that one without its writes."""
         for _ in range(steps):
             self._step([index for index in range(3) if index != which])
-            self.members[which].send_call(self.clock(which))
-            call = self.members[which].pending_call
-            is_write = call and isinstance(call[0], election.WriteRecord)
-            self._call(which, request_failed=bool(is_write))
-            self._send_orders()
+            self._call_without_writes(which)
 
     @stateful.rule(
         age=strategies.sampled_from([0.5, 1.0, 3.0, 6.0, 10.0]),
@@ -372,7 +397,7 @@
 
 TestRestoredStore = RestoredStore.TestCase
 TestRestoredStore.settings = hypothesis_settings.make_settings(
-    max_examples=100, stateful_step_count=50
+    max_examples=200, stateful_step_count=50
 )
 
 
