Allow that a late instance needs no second attempt for a paused target

Its logs show why: the target responded after 1.2 s, but the instance, which was late itself, noticed its silence only after 1.48 s, and had the response before it sent the second attempt. No target got it, so there was nothing to close.

The check is narrowed to that: a plain request that only one target received must have taken over 1.4 s. Otherwise exactly one attempt must be closed, as before; for streams always.

--- a/tests/test_pausing_targets.py
+++ b/tests/test_pausing_targets.py
@@ -32,6 +32,8 @@
 HUNG_LATERS = ("responds", "rejects-responds")
 MAX_HUNG_SECONDS = 2.5
 MAX_CLOSE_SECONDS = 0.4
+# How long a response takes that is delayed by the longer of the short pauses.
+MAX_PUNCTUAL_SECONDS = 1.4
 MAX_DEPARTURE_SECONDS = 0.5
 # The route, and what its caller has read when it leaves.
 DEPARTURES = {
@@ -218,6 +220,11 @@
         if outcome.request_id in target.closed_at
     ]
     assert outcome.is_whole
+    if route == "ask" and len(arrivals) == 1:
+        # An instance that is late itself has the response before it sends the
+        # next attempt.
+        assert outcome.seconds > MAX_PUNCTUAL_SECONDS
+        return
     assert len(closes) == 1
     assert closes[0] < outcome.end + MAX_CLOSE_SECONDS
 
