--- a/review/harness_3/deployment.py
+++ b/review/harness_3/deployment.py
@@ -23,6 +23,9 @@
 
 from quetzalgauge.platform import standin
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# A case that takes longer could not run.
+MAX_SECONDS = 100
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "site.example"
 # Below the ports of outgoing connections.
@@ -204,6 +207,8 @@
     Attributes:
         must_delay: Says for each order how many seconds later it is carried
             out, without an answer; 0 for an order that is passed on.
+        late_answers: Answers to orders that were carried out late; empty for
+            one under which the server ended.
     """
 
     def __init__(
@@ -231,6 +236,7 @@
         self._entry: dict[str, Any] | None = None
         self._seen_at = 0.0
         self.must_delay: Callable[[dict[str, Any]], float] = lambda order: 0.0
+        self.late_answers: list[str] = []
         self._channels: list[_Channel] = []
         self._is_stopped = threading.Event()
         threading.Thread(target=self._beat, daemon=True).start()
@@ -406,6 +412,7 @@
                 server.sendall(late)
                 server.settimeout(2)
                 answer = server.recv(4096).partition(b"\r\n")[0]
+                self.late_answers.append(answer.decode())
         except OSError as error:
             answer = repr(error).encode()
         self._record.add(f"its answer, which nobody reads: {answer!r}")
@@ -718,29 +725,58 @@
         could not run.
     """
     record = Record(folder / "record.txt")
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, _stop)
+    signal.alarm(MAX_SECONDS)
+    breaks: list[str] = []
+    error = ""
     with tempfile.TemporaryDirectory() as name:
-        deployment = Deployment(pathlib.Path(name), record, models, **options)
-        error = ""
+        deployment = None
         try:
+            deployment = Deployment(
+                pathlib.Path(name), record, models, **options
+            )
             run(deployment)
         except Exception as caught:
             error = f"the case could not run: {caught!r}"
         finally:
-            deployment.stop()
-        breaks = find_breaks(deployment, deployment.record_events())
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+                signal.signal(number, signal.SIG_IGN)
+            if deployment is not None:
+                deployment.stop()
+        if deployment is not None and not error:
+            try:
+                breaks = find_breaks(deployment, deployment.record_events())
+            except Exception as caught:
+                error = f"the case could not run: {caught!r}"
     for text in [error] if error else breaks or ["the rule held"]:
         record.add(text)
-        print(text)
+        print(text, flush=True)
     record.write()
     if error:
         return 2
     return 1 if breaks else 0
 
 
+def _stop(number: int, frame: Any) -> None:
+    raise TimeoutError(f"ended by {signal.Signals(number).name}")
+
+
+def end(status: int) -> None:
+    """Ends the process, whatever its threads do."""
+    os._exit(status)
+
+
 def find_limit_breaks(
     deployment: Deployment, events: list[dict[str, Any]]
 ) -> list[str]:
-    """Returns the orders that asked for more than a server holds."""
+    """Returns the orders that asked for more than a server holds.
+
+    Raises:
+        TimeoutError: No late order has reached the server.
+    """
+    if HAS_TROUBLE and not deployment.server.late_answers:
+        raise TimeoutError("no late order has reached the server")
     return [
         f"LIMIT broken: {event['why']}"
         for event in events
--- a/review/harness_3/engine.py
+++ b/review/harness_3/engine.py
@@ -16,6 +16,7 @@
 import json
 import os
 import pathlib
+import socketserver
 import sys
 import threading
 import time
@@ -304,6 +305,11 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def server_bind(self) -> None:
+        """Binds the address without looking up its name."""
+        socketserver.TCPServer.server_bind(self)
+        self.server_name, self.server_port = self.server_address[:2]
+
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Ignores callers that have left."""
 
