--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,16 +1,14 @@
 """Case 12: a late load fits again after an unload, beside another model."""
 
-import os
 import pathlib
 import signal
-import sys
 import time
 from typing import Any
 
 from review.harness_3 import deployment as deployment_module
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HAS_TROUBLE = deployment_module.HAS_TROUBLE
 # Of the size of the site's models; no two of them fit together.
 MODELS: dict[str, dict[str, Any]] = {
     "first": {"size": 72_700, "load_s": 6.0, "disk_s": 0.84, "adapters": 2},
@@ -73,7 +71,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(
+    deployment_module.end(
         deployment_module.play(
             FOLDER, MODELS, run, deployment_module.find_limit_breaks
         )
